--- /dev/null
+++ b/tests/test_limiter.py
@@ -0,0 +1,583 @@
+"""The limiter's decisions, event by event."""
+
+from dataclasses import replace
+from itertools import pairwise
+
+import pytest
+from helpers import Gateway, entry, gateway, settings
+
+from saffronreach import interface as api
+from saffronreach.interface import ListKind, Outcome, ServerState
+from saffronreach.limiter import ASK, DENIED, ENTRY, FORMAT, GRANTED, SECOND, UNKNOWN
+from saffronreach.state import Phase
+
+
+def account_of(gate: Gateway, index: int = 0):  # type: ignore[no-untyped-def]
+    return list(gate.limiter.accounts.values())[index]
+
+
+# Quotas
+
+
+def test_fill_rate_is_own_rate_plus_the_split_room() -> None:
+    gate = gateway(settings(meter=2000.0))
+    gate.ask(spread=2)
+    account = account_of(gate)
+    account.store = 0.0
+    account.own_rate, account.others_rate = 3.0, 5.0
+    assert gate.limiter.fill_rate(account, 1.0) == pytest.approx(3.0 + (10.0 - 8.0) / 2)
+    account.own_rate, account.others_rate = 3.0, 15.0
+    assert gate.limiter.fill_rate(account, 1.0) == 0.0  # never below nought
+    account.own_rate, account.others_rate = 12.0, 0.0
+    assert gate.limiter.fill_rate(account, 1.0) == 10.0  # never above the quota
+    assert gate.limiter.fill_rate(account, 0.0) == 5.0  # the even split without a reading
+    account.own_rate, account.others_rate = 3.0, 5.0
+    assert gate.limiter.fill_rate(account, 0.5) == pytest.approx(4.5)  # and smoothly between
+
+
+def test_customer_beyond_its_quota_is_refused_at_once() -> None:
+    gate = gateway()
+    served = [gate.serve() for _ in range(25)]
+    assert served == [True] * 20 + [False] * 5
+    gate.run(1000.0)
+    assert gate.where(gate.ask(spread=1))
+
+
+def test_meter_readings_move_the_bucket_and_age_to_the_even_split() -> None:
+    gate = gateway(settings(meter=2000.0))
+    name = gate.ask(spread=2)
+    gate.end(name, meter=101)
+    account = account_of(gate)
+    assert account.others_rate == pytest.approx(10.0, abs=0.5)
+    assert gate.limiter._trust(account) == 1.0
+    account.span = 4000.0  # requests are frequent: the reading lasts by the meter's period
+    gate.run(6000.0)
+    assert gate.limiter._trust(account) == pytest.approx(0.5, abs=0.02)
+    account.span = 16000.0  # and by count where they are few
+    assert gate.limiter._trust(account) == pytest.approx(1.0)
+    gate.run(17000.0)
+    assert gate.limiter._trust(account) == 0.0
+
+
+def test_metered_store_is_split_as_far_as_others_spend_it_unseen() -> None:
+    busy, calm = gateway(settings(meter=2000.0)), gateway(settings(meter=2000.0))
+    depths = []
+    for gate, meter in ((busy, 101), (calm, 21)):
+        gate.end(gate.ask(spread=2), meter=meter)
+        account = account_of(gate)
+        account.store = 8.0
+        depths.append(gate.limiter._depth(account, 1.0))
+    assert depths[0] == pytest.approx(4.0, abs=0.3)
+    assert depths[1] > 6.0
+
+
+def test_without_a_reading_the_bucket_holds_an_even_part_of_the_burst() -> None:
+    gate = gateway(settings(meter=2000.0))
+    assert [gate.serve(spread=2) for _ in range(12)] == [True] * 10 + [False] * 2
+
+
+def test_even_part_below_one_request_goes_into_debt_by_one_and_no_more() -> None:
+    gate = gateway(settings(limiters=400))
+    assert gate.serve(spread=400)  # the part of the burst is a twentieth of a request
+    assert not gate.serve(spread=400)
+    gate.run(37000.0)  # the part of the rate is 1 request in 40 s
+    assert not gate.serve(spread=400)
+    gate.run(42000.0)
+    assert gate.serve(spread=400)
+
+
+def test_absent_meter_is_no_reading() -> None:
+    gate = gateway(settings(meter=2000.0))
+    gate.end(gate.ask(spread=2), meter=0)
+    assert gate.limiter._trust(account_of(gate)) == 0.0
+
+
+def test_settled_units_take_the_place_of_the_guess() -> None:
+    gate = gateway(settings(settled=True))
+    name = gate.ask(units=2.0)
+    before = account_of(gate).store
+    gate.end(name, true=5.0)
+    assert account_of(gate).store == pytest.approx(before - 3.0)
+
+
+def test_open_cap_holds_until_one_has_ended() -> None:
+    gate = gateway()
+    first, second, third = (gate.ask(plan=2) for _ in range(3))
+    assert gate.where(first) and gate.where(second)
+    assert gate.finals[third] == ["Refuse"]
+    gate.run(100.0)
+    gate.end(first)
+    assert gate.where(gate.ask(plan=2))
+
+
+def test_beyond_quota_is_sent_only_where_it_earns_and_there_is_room() -> None:
+    gate = gateway()
+    assert all(gate.serve(plan=3) for _ in range(6))
+    gate.limiter.throttle.enter(50.0, gate.now)
+    assert gate.finals[gate.ask(plan=3)] == ["Refuse"]
+
+
+def test_unseen_customers_are_aged_out() -> None:
+    gate = gateway()
+    gate.end(gate.ask())
+    gate.run(10000.0)
+    assert len(gate.limiter.accounts) == 1
+    gate.run(20000.0)
+    assert not gate.limiter.accounts
+
+
+# Ceiling
+
+
+def test_ceiling_part_is_never_passed_and_starts_empty_after_a_start() -> None:
+    gate = gateway(start=5000.0)
+    assert gate.finals[gate.ask(plan=1, spread=2)] == ["Refuse"]
+    taken: list[float] = []
+    for _ in range(400):
+        gate.run(gate.now + 25.0)
+        name = gate.ask(plan=1, spread=2)
+        if gate.where(name):
+            taken.append(gate.now)
+            gate.end(name)
+    for i, start in enumerate(taken):
+        for j in range(i, len(taken)):
+            assert j - i + 1 <= 12.0 + 6.0 * (taken[j] - start) / SECOND + 1e-6
+    assert len(taken) <= 6.0 * (gate.now - 5000.0) / SECOND + 1e-6
+
+
+# Peers
+
+
+def tells(gate: Gateway) -> list[tuple[int, tuple[int, ...]]]:
+    return [(a.receiver, ENTRY.unpack(a.data)) for _, a in gate.other if isinstance(a, api.TellPeer)]
+
+
+def mail(key: int, what: int, a: int = 4, b: int = UNKNOWN, number: int = 1, plan: int = 0) -> bytes:
+    return ENTRY.pack(FORMAT, UNKNOWN, key, what, plan, a, b, number)
+
+
+def asking_gate(spread: int = 3, limiters: int = 3) -> tuple[Gateway, str, int, tuple[int, ...]]:
+    """A gateway with a request whose units it asks a peer for."""
+    gate = gateway(settings(limiters=limiters, peers=True))
+    for i in range(100):
+        name = gate.ask(customer=f"c{i}", spread=spread)
+        if not gate.where(name):
+            return (gate, name, *tells(gate)[-1])
+    raise AssertionError("no customer is kept elsewhere")
+
+
+def test_granted_units_are_sent_and_denied_ones_refused() -> None:
+    for what, sent in ((GRANTED, True), (DENIED, False)):
+        gate, name, keeper, asked = asking_gate()
+        assert asked[3] == ASK and asked[5] == 4
+        gate.do(api.PeerMessage(keeper, mail(asked[2], what, a=0, number=asked[7])))
+        assert bool(gate.where(name)) is sent
+        assert (name in gate.finals) is not sent
+        customer = gate.limiter.accounts[asked[2]]
+        assert (gate.now < customer.empty_until) is not sent
+
+
+def test_answer_of_another_peer_or_to_no_question_changes_nothing() -> None:
+    gate, name, keeper, asked = asking_gate()
+    gate.do(api.PeerMessage(keeper, mail(asked[2], GRANTED, number=asked[7] + 1)))
+    gate.do(api.PeerMessage(3 - keeper, mail(asked[2], GRANTED, number=asked[7])))
+    assert not gate.where(name) and name not in gate.finals
+
+
+def test_keeper_grants_the_store_once_over_all_that_ask() -> None:
+    gate = gateway(settings(limiters=400, peers=True))
+    for sender in range(1, 31):
+        gate.do(api.PeerMessage(sender, mail(7, ASK, number=sender)))
+        gate.run(gate.now + 25.0)
+    answers = [entry_told[3] for _, entry_told in tells(gate)]
+    assert len(answers) == 30
+    assert 20 <= answers.count(GRANTED) <= 28  # 20 of burst and 10 a second for 0.75 s
+    assert [receiver for receiver, _ in tells(gate)] == list(range(1, 31))
+
+
+def test_silent_keeper_leaves_the_bucket_to_decide_and_is_passed_over() -> None:
+    gate, name, keeper, asked = asking_gate()
+    gate.run(150.0)
+    assert not gate.where(name) and len(tells(gate)) == 2  # asked once more
+    gate.run(250.0)
+    assert gate.where(name)  # by the even part
+    customer = gate.limiter.accounts[asked[2]]
+    gate.limiter._unanswered(-1)
+    for _ in range(3):
+        gate.ask(customer=f"c{int(name[1:]) - 1}", spread=3)
+        gate.run(gate.now + 250.0)
+    assert gate.now < gate.limiter.silent[keeper]
+    assert gate.limiter._keeper(customer) != keeper
+    gate.do(api.PeerMessage(keeper, mail(1, DENIED, number=9)))
+    assert gate.limiter._keeper(customer) == keeper
+
+
+def test_gateways_of_a_customer_agree_on_its_keeper_at_400_limiters() -> None:
+    keepers: list[int] = []
+    for number in (300, 301, 310, 380):
+        gate = gateway(replace(settings(limiters=400, peers=True), number=number))
+        gate.do(api.RequestArrived("r", 0, 0, "wide", 1.0, 4000.0, spread=300, first=250))
+        keepers.append(gate.limiter._keeper(account_of(gate)) or 0)
+    assert len(set(keepers)) == 1
+    assert (keepers.pop() - 250) % 400 < 300
+
+
+def test_restarted_keeper_opens_a_store_as_it_was_last_heard_of() -> None:
+    gate = gateway(settings(peers=True))
+    gate.do(api.PeerMessage(1, mail(7, ASK, b=0)))
+    assert tells(gate)[-1][1][3] == DENIED
+
+
+def test_peers_are_told_within_half_of_their_intake() -> None:
+    gate = gateway(settings(limiters=400, peers=True))
+    for i in range(2000):
+        gate.do(api.PeerMessage(1 + i % 399, mail(i, ASK)))
+        gate.run(gate.now + 1.0)
+    assert len(tells(gate)) <= 25 + 50 * 2.1
+
+
+@pytest.mark.parametrize("spread", [-1, 0, 4, 9999])
+def test_gateways_outside_the_count_of_limiters_act_as_no_knowledge(spread: int) -> None:
+    gate = gateway(settings(peers=True))
+    name = gate.ask(spread=spread)
+    gate.run(1000.0)
+    assert gate.where(name)
+    assert 1 <= account_of(gate).spread <= 3
+
+
+FOREIGN = [b"", b"\x5c", b"abc", bytes([FORMAT]) + bytes(7), b"\x5a" + b"\xff" * (ENTRY.size - 1)]
+
+
+@pytest.mark.parametrize("data", [*FOREIGN, mail(5, ASK, plan=200), mail(5, 9)])
+def test_foreign_or_truncated_peer_bytes_change_nothing(data: bytes) -> None:
+    gate = gateway(settings(peers=True))
+    assert gate.do(api.PeerMessage(1, data)) == []
+    assert gate.do(api.PeerMessage(99, mail(5, ASK))) == []
+    assert not gate.limiter.accounts and not gate.limiter.ledgers
+
+
+# Attempts and final answers
+
+
+@pytest.mark.parametrize(("plan", "kind"), [(-1, 0), (99, 0), (0, -1), (0, 99)])
+def test_request_of_a_plan_or_class_not_known_is_refused(plan: int, kind: int) -> None:
+    gate = gateway()
+    assert gate.finals[gate.ask(plan=plan, kind=kind)] == ["Refuse"]
+
+
+def test_safe_request_is_tried_elsewhere_after_an_error() -> None:
+    gate = gateway()
+    name = gate.ask()
+    gate.end(name, Outcome.ERROR)
+    assert len(set(gate.where(name))) == 2
+
+
+def test_unsafe_request_is_sent_again_only_when_it_never_ran() -> None:
+    gate = gateway()
+    name = gate.ask(kind=2)
+    gate.end(name, Outcome.FULL)
+    assert len(gate.where(name)) == 2
+    gate.end(name, Outcome.RESET)
+    assert len(gate.where(name)) == 2
+    assert gate.finals[name] == ["Fail"]
+
+
+def test_keyed_request_stays_in_its_group_and_window() -> None:
+    gate = gateway()
+    name = gate.ask(kind=1)
+    gate.end(name, Outcome.RESET)
+    zones = {"abcdef".index(s) % 2 for s in gate.where(name)}
+    assert len(gate.where(name)) == 2 and len(zones) == 1
+    gate.now += 2500.0
+    gate.end(name, Outcome.RESET)
+    assert len(gate.where(name)) == 2
+    assert gate.finals[name] == ["Fail"]
+
+
+def test_stream_that_started_outlives_the_deadline() -> None:
+    gate = gateway()
+    name = gate.ask(kind=3)
+    gate.do(api.StreamStarted(name, 0, gate.where(name)[0], 10.0))
+    gate.run(9000.0)
+    assert name not in gate.finals
+    gate.end(name)
+    assert not gate.limiter.requests
+
+
+def test_no_request_ever_has_two_attempts_out() -> None:
+    gate = gateway()
+    name = gate.ask()
+    gate.run(900.0)
+    assert len(gate.where(name)) == 1
+
+
+def test_safe_request_is_waited_for_until_its_aim_and_then_fails() -> None:
+    gate = gateway()
+    name = gate.ask()
+    sent = next(s for _, s in gate.sent if s.request == name)
+    assert sent.timeout == pytest.approx(1000.0)
+    gate.now += 1000.0
+    gate.end(name, Outcome.TIMEOUT, took=1000.0)
+    assert gate.finals[name] == ["Fail"]
+
+
+@pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
+def test_all_draining_gives_each_request_one_answer_in_time(state: ServerState) -> None:
+    gate = gateway()
+    gate.servers(*(entry(n, 0, state) for n in "abcdef"), kind=ListKind.CHANGES)
+    name = gate.ask()
+    gate.run(4000.0)
+    assert gate.finals[name] == ["Refuse"] and not gate.where(name)
+
+
+def test_no_server_known_or_an_emptied_list_gives_each_request_one_answer() -> None:
+    gate = gateway(names="")
+    early = gate.ask()
+    gate.run(4000.0)
+    gate.servers(entry("a"))
+    assert gate.where(gate.ask())
+    gate.servers(kind=ListKind.ALL)
+    late = gate.ask()
+    gate.run(8000.0)
+    assert gate.finals[early] == gate.finals[late] == ["Refuse"]
+
+
+def test_held_requests_do_not_pass_the_ceiling_together() -> None:
+    gate = gateway(names="", start=0.0)
+    gate.run(10000.0)
+    names = [gate.ask(plan=1, spread=2) for _ in range(20)]
+    gate.servers(entry("a"))
+    gate.run(10500.0)
+    assert sum(bool(gate.where(n)) for n in names) <= 13
+
+
+def test_late_repeated_and_unknown_ids_change_nothing() -> None:
+    gate = gateway()
+    name = gate.ask()
+    server = gate.where(name)[0]
+    gate.end(name)
+    assert gate.do(api.AttemptEnded(name, 0, server, Outcome.OK, 5.0, True)) == []
+    assert gate.do(api.AttemptEnded("r-none", 0, "zz", Outcome.ERROR, 5.0, False)) == []
+    assert gate.do(api.ClientGone(name)) == []
+    assert gate.do(api.StreamStarted("r-none", 0, "zz", 5.0)) == []
+    assert gate.do(api.TimerDue(987654)) == []
+    assert gate.do(api.ProbeEnded("zz", Outcome.OK, 1.0)) == []
+
+
+# Servers
+
+
+def test_server_that_fails_fast_is_left_alone_and_comes_back_by_a_trial() -> None:
+    gate = gateway(names="ab")
+    for _ in range(60):
+        name = gate.ask(customer=f"c{gate.count}")
+        while name not in gate.ended:
+            bad = gate.where(name)[-1] == "a"
+            gate.end(name, Outcome.ERROR if bad else Outcome.OK)
+        gate.run(gate.now + 20.0)
+    recent = [s.server for at, s in gate.sent if at > gate.now - 500.0]
+    assert recent.count("a") <= 2
+    before = gate.ask(customer="first")
+    for _ in range(600):
+        now = gate.ask(customer=f"c{gate.count}")
+        gate.end(before)
+        gate.run(gate.now + 50.0)
+        before = now
+    recent = [s.server for at, s in gate.sent if at > gate.now - 1000.0]
+    assert recent.count("a") >= 3
+
+
+def test_failing_everywhere_is_no_reason_to_send_nowhere() -> None:
+    gate = gateway()
+    for _ in range(60):
+        name = gate.ask(customer=f"c{gate.count}")
+        while name not in gate.ended:
+            gate.end(name, Outcome.ERROR)
+        gate.run(gate.now + 20.0)
+    assert gate.where(gate.ask(customer="last"))
+
+
+def test_zone_that_fails_is_avoided_at_servers_not_tried_yet() -> None:
+    gate = gateway(settings(limiters=400), names="abcdefghijklmnopqrst")
+    for _ in range(20):
+        name = gate.ask(customer=f"c{gate.count}")
+        bad = ord(gate.where(name)[0]) % 2
+        gate.end(name, Outcome.CONNECT_FAILED if bad else Outcome.OK)
+        gate.run(gate.now + 50.0)
+    share = gate.limiter.failing
+    assert share["zone", 0] > share["zone", 1]
+    servers = gate.limiter.servers
+    request = gate.limiter.requests[gate.ask(customer="x")]
+    costs = {n: gate.limiter._cost(servers[n], request, set()) for n in servers if not servers[n].out}
+    unseen = {n: c for n, c in costs.items() if servers[n].known_at < 0}
+    bad_costs = [c for n, c in unseen.items() if ord(n) % 2]
+    good_costs = [c for n, c in unseen.items() if not ord(n) % 2]
+    assert not bad_costs or not good_costs or min(bad_costs) > max(good_costs)
+
+
+def test_full_told_to_one_plan_is_no_load_and_to_two_is() -> None:
+    gate = gateway()
+    for plans, loaded in (((0,), False), ((0, 3), True)):
+        for i in range(40):
+            name = gate.ask(customer=f"c{plans}{i}", plan=plans[i % len(plans)])
+            gate.end(name, Outcome.FULL, took=200.0)
+            gate.end(name, Outcome.FULL, took=200.0)
+            gate.end(name)
+            gate.run(gate.now + 10.0)
+        assert (gate.limiter.load_level() > 0.4) is loaded
+
+
+def test_plan_told_full_goes_elsewhere() -> None:
+    gate = gateway(names="ab")
+    for i in range(30):
+        name = gate.ask(customer=f"c{i}", plan=0)
+        gate.end(name, Outcome.FULL if gate.where(name)[0] == "a" else Outcome.OK)
+        gate.end(name)
+        gate.run(gate.now + 10.0)
+    assert [gate.where(gate.ask(customer=f"d{i}"))[0] for i in range(5)].count("a") == 0
+
+
+def test_server_that_never_answers_is_left_alone() -> None:
+    gate = gateway(names="abc")
+    for _ in range(100):
+        name = gate.ask(customer=f"c{gate.count}")
+        if gate.where(name)[0] != "a":
+            gate.end(name)
+        gate.run(gate.now + 20.0)
+    recent = [s.server for at, s in gate.sent if at > 1000.0]
+    assert recent.count("a") <= 3
+
+
+def test_cold_server_gets_its_part_only() -> None:
+    gate = gateway(names="abcde")
+    gate.run(20000.0)
+    gate.servers(*(entry(n, 0) for n in "abcde"), entry("f", 0, at=20000.0))
+    for _ in range(200):
+        gate.end(gate.ask(customer=f"c{gate.count}"), took=50.0)
+        gate.run(gate.now + 10.0)
+    counts = [sum(s.server == n for _, s in gate.sent) for n in "abcdef"]
+    assert 0 < counts[5] <= 0.6 * 2.0 * 0.4 * sum(counts[:5]) / 5 + 2
+
+
+def test_small_cold_server_gets_a_part_by_its_weight() -> None:
+    gate = gateway(names="abcde")
+    for _ in range(200):
+        gate.end(gate.ask(customer=f"c{gate.count}"))
+        gate.run(gate.now + 10.0)
+    big, small = entry("f", 0, at=gate.now), entry("g", 0, at=gate.now)
+    gate.servers(big, replace(small, weight=0.25), kind=ListKind.CHANGES)
+    for _ in range(100):
+        gate.end(gate.ask(customer=f"c{gate.count}"), took=50.0)
+        gate.run(gate.now + 10.0)
+    counts = [sum(s.server == n for _, s in gate.sent) for n in "fg"]
+    assert counts[0] > counts[1] > 0
+    assert gate.finals == {}
+
+
+def test_errors_are_no_samples_of_load() -> None:
+    gate = gateway()
+    for _ in range(20):
+        name = gate.ask(customer=f"c{gate.count}")
+        while name not in gate.ended:
+            gate.end(name, Outcome.ERROR, took=1.0)
+    assert gate.limiter.load_level() < 0.4
+
+
+def test_one_sick_server_is_no_load_and_all_slow_is() -> None:
+    gate = gateway()
+    for _ in range(30):
+        name = gate.ask(customer=f"c{gate.count}")
+        slow = gate.where(name)[0] == "a"
+        gate.end(name, took=900.0 if slow else 50.0)
+    assert gate.limiter.load_level() < 0.2
+    for _ in range(60):
+        gate.end(gate.ask(customer=f"d{gate.count}"), took=900.0)
+    assert gate.limiter.load_level() > 0.8
+
+
+def test_crowding_holds_new_work_off_before_answers_tell() -> None:
+    gate = gateway(names="ab")
+    names = [gate.ask(customer=f"c{i}") for i in range(40)]
+    assert any(gate.finals.get(n) == ["Refuse"] for n in names)
+    assert sum(bool(gate.where(n)) for n in names) >= 1
+
+
+def test_throttling_starts_ends_and_is_logged() -> None:
+    gate = gateway()
+    for _ in range(80):
+        gate.end(gate.ask(customer=f"c{gate.count}"), took=900.0)
+        gate.run(gate.now + 25.0)
+    assert any(isinstance(a, api.Log) for _, a in gate.other)
+    for _ in range(1200):
+        name = gate.ask(customer=f"c{gate.count}")
+        if gate.where(name):
+            gate.end(name, took=50.0)
+        gate.run(gate.now + 25.0)
+    assert gate.limiter.throttle.phase is Phase.NOT_OVERLOADED
+    logs = [a.text for _, a in gate.other if isinstance(a, api.Log)]
+    assert logs[0].startswith("throttling starts") and logs[-1].startswith("throttling ends")
+
+
+def test_subscribes_and_asks_again_before_old_news_counts() -> None:
+    gate = gateway(settings(subscribe=True))
+    gate.run(20000.0)
+    asked = [at for at, a in gate.other if isinstance(a, api.Subscribe)]
+    fetched = [at for at, a in gate.other if isinstance(a, api.FetchList)]
+    assert asked[0] == 0.0
+    assert fetched and max(b - a for a, b in pairwise(fetched)) < 8000.0
+    gate.do(api.ServerList(2, ListKind.REFUSED))
+    assert gate.where(gate.ask())
+
+
+def test_serves_from_the_first_request_after_a_start() -> None:
+    gate = gateway(start=77777.0)
+    assert gate.where(gate.ask(spread=3))
+
+
+def test_few_answers_count_as_calm_so_that_a_low_rate_does_not_latch() -> None:
+    gate = gateway(settings(limiters=400))
+    for _ in range(12):
+        gate.end(gate.ask(customer=f"c{gate.count}"), took=900.0)
+    assert gate.limiter.load_level() > 0.4
+    gate.run(1500.0)
+    assert gate.limiter.throttle.leak_rate > 0.0
+    gate.run(8000.0)
+    for _ in range(30):
+        gate.end(gate.ask(customer=f"d{gate.count}"), took=50.0)
+        gate.run(gate.now + 1000.0)
+    assert gate.limiter.throttle.phase is Phase.NOT_OVERLOADED
+
+
+def test_rate_is_not_cut_below_most_of_what_was_answered_in_time() -> None:
+    gate = gateway()
+    for _ in range(400):
+        gate.end(gate.ask(customer=f"c{gate.count}"), took=50.0)
+        gate.run(gate.now + 50.0)
+    assert 0.6 * 20 <= gate.limiter.throttle.least_rate <= 0.8 * 20
+
+
+def test_three_slow_answers_are_load_and_one_is_not() -> None:
+    gate = gateway(settings(limiters=400))
+    gate.end(gate.ask(), took=900.0)
+    assert gate.limiter.load_level() < 0.4
+    for i in range(2):
+        gate.end(gate.ask(customer=f"c{i}"), took=900.0)
+    assert gate.limiter.load_level() > 0.4
+
+
+def test_level_that_peers_tell_counts_where_own_answers_are_few() -> None:
+    gate = gateway(settings(limiters=400, peers=True))
+    for sender in range(1, 20):
+        gate.do(api.PeerMessage(sender, ENTRY.pack(FORMAT, 64, 1, DENIED, 0, 0, 0, 0)))
+    assert gate.limiter.load_level() > 0.8
+    gate.run(5000.0)
+    assert gate.limiter.load_level() < 0.4  # what was told is old
+
+
+def test_store_that_a_limiter_takes_over_opens_as_last_heard_of() -> None:
+    gate, name, keeper, asked = asking_gate(spread=2, limiters=2)
+    gate.do(api.PeerMessage(keeper, mail(asked[2], DENIED, a=0, number=asked[7])))
+    gate.limiter.silent[keeper] = gate.now + 1e6
+    gate.limiter.accounts[asked[2]].empty_until = gate.now
+    again = gate.ask(customer=f"c{int(name[1:]) - 1}", spread=2)
+    assert gate.finals[again] == ["Refuse"]
--- /dev/null
+++ b/tests/test_properties.py
@@ -0,0 +1,124 @@
+"""Random orders of events never break a rule that one limiter can keep alone."""
+
+from helpers import KEYED, Gateway, entry, gateway, settings
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from saffronreach import interface as api
+from saffronreach.interface import ListKind, Outcome, ServerState
+
+LEFT = st.sampled_from([20, 900, 4000])
+OUTCOMES = st.sampled_from(list(Outcome))
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(
+            st.just("ask"), st.integers(0, 3), st.integers(0, 3), st.integers(1, 4), LEFT
+        ),
+        st.tuples(st.just("end"), st.integers(0, 30), OUTCOMES, st.integers(0, 300)),
+        st.tuples(st.just("wait"), st.integers(1, 700)),
+        st.tuples(st.just("list"), st.integers(0, 5), st.sampled_from(list(ServerState)), st.booleans()),
+        st.tuples(st.just("gone"), st.integers(0, 30)),
+        st.tuples(st.just("peer"), st.binary(max_size=30)),
+    ),
+    max_size=60,
+)
+
+
+class Watch:
+    """Keeps what each rule needs to be checked beside a gateway."""
+
+    def __init__(self, gate: Gateway) -> None:
+        self.gate = gate
+        self.left: dict[str, float] = {}
+        self.ran: dict[str, list[tuple[float, str]]] = {}
+        self.kinds: dict[str, int] = {}
+        self.deadline: dict[str, float] = {}
+        self.seen = 0
+
+    def check_sends(self) -> None:
+        for at, send in self.gate.sent[self.seen :]:
+            left = self.left.get(send.server)
+            assert left is None or at - left <= 250.0, "sent to a server that drains"
+            ran = self.ran.setdefault(send.request, [])
+            kind = self.kinds[send.request]
+            if ran and kind == 2:
+                raise AssertionError("an unsafe request was sent again")
+            if ran and kind == 1:
+                assert at - ran[0][0] <= KEYED.window
+                assert "abcdef".index(ran[0][1]) % 2 == "abcdef".index(send.server) % 2
+            ran.append((at, send.server))
+        self.seen = len(self.gate.sent)
+
+
+def play(gate: Gateway, steps: list[tuple[object, ...]]) -> None:
+    watch = Watch(gate)
+    for step in steps:
+        match step:
+            case ("ask", int(kind), int(plan), int(units), int(left)):
+                name = f"r{gate.count + 1}"
+                watch.kinds[name], watch.deadline[name] = kind, gate.now + left
+                gate.ask(f"c{plan}", plan, float(units), kind, 2, float(left))
+            case ("end", int(index), Outcome() as outcome, int(took)) if gate.out:
+                name = gate.out[index % len(gate.out)][0]
+                number = next(o for o in gate.out if o[0] == name)
+                if outcome in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT):
+                    ran = watch.ran.get(name, [])
+                    watch.ran[name] = [r for r in ran if r[1] != number[2]]
+                gate.end(name, outcome, float(took))
+            case ("wait", int(ms)):
+                gate.run(gate.now + ms)
+            case ("list", int(index), ServerState() as state, bool(cold)):
+                server = "abcdef"[index]
+                started = gate.now if cold else 0.0
+                gate.servers(entry(server, index % 2, state, started), kind=ListKind.CHANGES)
+                if state is ServerState.RUNNING:
+                    watch.left.pop(server, None)
+                else:
+                    watch.left.setdefault(server, gate.now)
+            case ("gone", int(index)) if gate.out:
+                name = gate.out[index % len(gate.out)][0]
+                if name not in gate.ended:
+                    gate.do(api.ClientGone(name))
+            case ("peer", bytes(data)):
+                gate.do(api.PeerMessage(1, data))
+        watch.check_sends()
+    gate.run(gate.now + 5000.0)
+    watch.check_sends()
+    for name in watch.kinds:
+        assert name in gate.ended, "a request has no final answer"
+        assert len(gate.finals.get(name, [])) <= 1
+
+
+@given(STEPS)
+@hypothesis_settings(max_examples=150, derandomize=True, deadline=None)
+def test_rules_hold_in_any_order(steps: list[tuple[object, ...]]) -> None:
+    play(gateway(settings(peers=True)), steps)
+
+
+@given(STEPS)
+@hypothesis_settings(max_examples=30, derandomize=True, deadline=None)
+def test_same_events_give_the_same_actions(steps: list[tuple[object, ...]]) -> None:
+    first, second = gateway(settings(peers=True)), gateway(settings(peers=True))
+    play(first, steps)
+    play(second, steps)
+    assert (first.sent, first.finals, first.other) == (second.sent, second.finals, second.other)
+
+
+@given(st.lists(st.tuples(st.integers(1, 200), st.integers(1, 6), st.booleans()), max_size=120))
+@hypothesis_settings(max_examples=60, derandomize=True, deadline=None)
+def test_ceiling_part_is_kept_through_restarts(steps: list[tuple[int, int, bool]]) -> None:
+    gate = gateway(names="abc")
+    level, at = 12.0, 0.0  # this limiter's part of burst 24 at rate 12, split over two
+    for wait, units, restart in steps:
+        gate.run(gate.now + wait)
+        if restart:
+            count = gate.count
+            gate = gateway(names="abc", start=gate.now)
+            gate.count = count
+        level, at = min(12.0, level + 6.0 * (gate.now - at) / 1000.0), gate.now
+        name = gate.ask("c", 1, float(units), spread=2)
+        if gate.where(name):
+            level -= units
+            gate.end(name)
+        assert level >= -1e-6
