--- a/saffronreach/adapter.py
+++ b/elderlock/adapter.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from typing import Any, TextIO, TypeVar
 
-from saffronreach import interface as api
-from saffronreach.limiter import Limiter
+from elderlock import interface as api
+from elderlock.limiter import Limiter
 
 OUTCOMES = {
     0: api.Outcome.OK,
@@ -352,7 +352,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except (WireError, UnicodeDecodeError) as error:
-        print(f"saffronreach: {error}", file=sys.stderr)
+        print(f"elderlock: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
--- a/saffronreach/limiter.py
+++ b/elderlock/limiter.py
@@ -1,4 +1,4 @@
-"""Decides for a gateway that holds customers to quotas; its interface is saffronreach/interface.py.
+"""Decides for a gateway that holds customers to quotas; its interface is elderlock/interface.py.
 
 Top to bottom: constants, state, the throttle (ETSI ES 283 039-4), and the limiter with its events, admission,
 quotas, keepers, servers, attempts and upkeep. Times are milliseconds, rates are a second.
@@ -15,9 +15,9 @@
 from statistics import median
 from struct import Struct
 
-from saffronreach import interface as api
-from saffronreach.interface import Effect, Group, ListKind, Outcome, Plan, ServerState
-from saffronreach.state import NEVER, Account, Attempt, Ledger, OpenRequest, Phase, Server
+from elderlock import interface as api
+from elderlock.interface import Effect, Group, ListKind, Outcome, Plan, ServerState
+from elderlock.state import NEVER, Account, Attempt, Ledger, OpenRequest, Phase, Server
 
 # The throttle. Load is latency over the class's aim, so the levels are shares of the aim.
 GOAL_LOAD_LEVEL = 0.4  # with the median answer at this share a queue stands, and a slow tenth misses the aim
--- a/saffronreach/state.py
+++ b/elderlock/state.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from saffronreach import interface as api
+from elderlock import interface as api
 
 NEVER = -1e9  # ms; long ago
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass, field
 
-from saffronreach import interface as api
-from saffronreach.interface import Outcome
-from saffronreach.limiter import Limiter
+from elderlock import interface as api
+from elderlock.interface import Outcome
+from elderlock.limiter import Limiter
 
 SAFE = api.RequestClass("read", aim=1000.0)
 KEYED = api.RequestClass("put", 1000.0, api.Effect.KEYED, api.Group.ZONE, window=2000.0)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from saffronreach.adapter import WireError, serve
+from elderlock.adapter import WireError, serve
 
 ROOT = Path(__file__).parent.parent
 FACTS = {
@@ -73,12 +73,12 @@
 
 def test_malformed_input_ends_the_process_with_a_plain_line() -> None:
     done = subprocess.run(
-        [sys.executable, "-B", "-m", "saffronreach.adapter"],
+        [sys.executable, "-B", "-m", "elderlock.adapter"],
         input="mark at-time=1 serial=1\ntarget_instance limiter=0\nodd x=1\neof_batch\n",
         text=True,
         capture_output=True,
         cwd=ROOT,
     )
     assert done.returncode == 2
-    assert done.stderr == "saffronreach: instance 0: message 'odd' is not known\n"
+    assert done.stderr == "elderlock: instance 0: message 'odd' is not known\n"
     assert done.stdout == ""
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -6,10 +6,10 @@
 import pytest
 from helpers import Gateway, entry, gateway, settings
 
-from saffronreach import interface as api
-from saffronreach.interface import ListKind, Outcome, ServerState
-from saffronreach.limiter import ASK, DENIED, ENTRY, FORMAT, GRANTED, SECOND, UNKNOWN
-from saffronreach.state import Phase
+from elderlock import interface as api
+from elderlock.interface import ListKind, Outcome, ServerState
+from elderlock.limiter import ASK, DENIED, ENTRY, FORMAT, GRANTED, SECOND, UNKNOWN
+from elderlock.state import Phase
 
 
 def account_of(gate: Gateway, index: int = 0):  # type: ignore[no-untyped-def]
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-MODULE = ROOT / "saffronreach" / "limiter.py"
+MODULE = ROOT / "elderlock" / "limiter.py"
 
 
 def test_module_stays_within_650_lines_and_110_columns() -> None:
@@ -17,12 +17,12 @@
 
 def test_docstring_names_the_interface_file_first() -> None:
     first = MODULE.read_text().splitlines()[0]
-    assert "saffronreach/interface.py" in first
+    assert "elderlock/interface.py" in first
 
 
 def test_policy_is_the_one_module() -> None:
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-    assert deploy["policy"] == ["saffronreach/limiter.py"]
+    assert deploy["policy"] == ["elderlock/limiter.py"]
 
 
 def test_sim_answers_an_empty_batch_and_ends_with_the_input() -> None:
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -5,8 +5,8 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from saffronreach import interface as api
-from saffronreach.interface import ListKind, Outcome, ServerState
+from elderlock import interface as api
+from elderlock.interface import ListKind, Outcome, ServerState
 
 LEFT = st.sampled_from([20, 900, 4000])
 OUTCOMES = st.sampled_from(list(Outcome))
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from saffronreach import limiter as m
-from saffronreach.limiter import Throttle
-from saffronreach.state import Phase
+from elderlock import limiter as m
+from elderlock.limiter import Throttle
+from elderlock.state import Phase
 
 
 def throttled(rate: float = 20.0) -> Throttle:
