--- /dev/null
+++ b/elderlock/__main__.py
@@ -0,0 +1,77 @@
+"""Starts one limiter: reads the configuration, wires the parts, and ends on SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from elderlock.net.clients import Clients
+from elderlock.net.config import Config, ConfigError, load
+from elderlock.net.discovery import Discovery
+from elderlock.net.gateway import Clock, Gateway
+from elderlock.net.peers import Peers
+
+ACCEPT_FOR = 0.5  # s after SIGTERM: the front may send new connections for 0.4 s
+EXIT_WITHIN = 3.4  # s after SIGTERM: SIGKILL comes 0.7 s after the longest deadline at the soonest
+FRESH_LIST_WITHIN = 1.0  # s that the fresh list is waited for, where one is known from before
+
+
+async def serve(config: Config) -> None:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    gateway = Gateway(loop, config, Clock())
+    peers = None
+    if config.peer_listen is not None:
+        intake = config.settings.sources.peer_intake
+        peers = Peers(config.peers, config.peers_all, intake, gateway.told, gateway.now)
+        await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
+        gateway.tell_peer = peers.send
+    gateway.start()
+    clients = Clients(loop, gateway, config.sockets)
+    discovery = Discovery(config.discovery, config.socket_settings, gateway.listed)
+    following = loop.create_task(discovery.run())
+    try:
+        # what is known from before may be old: serving from it is for when discovery is silent
+        async with asyncio.timeout(FRESH_LIST_WITHIN):
+            await gateway.fresh.wait()
+    except TimeoutError:
+        logging.warning("no list from discovery yet")
+    await clients.listen(*config.listen)
+    gc.collect()
+    gc.freeze()  # what start-up made stays: the collector need not walk it again and again
+    logging.info("%s listens at %s:%d", config.name, *config.listen)
+    await stop.wait()
+    logging.info("%s stops", config.name)
+    await clients.drain(ACCEPT_FOR, EXIT_WITHIN)
+    following.cancel()
+    await asyncio.gather(following, return_exceptions=True)
+    gateway.servers.close()
+    if peers is not None:
+        peers.close()
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    try:
+        config = load(os.environ)
+    except ConfigError as error:
+        print(f"elderlock: {error}", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(serve(config))
+    except OSError as error:  # an address of the configuration that cannot be bound
+        print(f"elderlock: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/elderlock/adapter.py
+++ b/elderlock/adapter.py
@@ -7,10 +7,11 @@
 import json
 import sys
 from collections.abc import Callable
-from typing import Any, TextIO, TypeVar
+from typing import TextIO, TypeVar
 
 from elderlock import interface as api
 from elderlock.limiter import Limiter
+from elderlock.settings import settings_of
 
 OUTCOMES = {
     0: api.Outcome.OK,
@@ -22,7 +23,6 @@
     250: api.Outcome.CANCELLED,
     249: api.Outcome.MOOT,
 }
-EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
 STATES = {
     "Running": api.ServerState.RUNNING,
     "Stopping": api.ServerState.DRAINING,
@@ -102,68 +102,6 @@
     return number
 
 
-def settings_of(facts: Any) -> api.Settings:
-    """Reads the start-up settings; keys that are not known are ignored."""
-    rules, limits = facts["rules"], facts["policy-limits"]
-    family = facts["family-info"]
-    classes = tuple(
-        api.RequestClass(
-            name=str(c["name"]),
-            aim=float(c["goal-time"]),
-            effect=EFFECTS[c["effect"]],
-            group=api.Group(c.get("dedup-scope", "all")),
-            window=float(c.get("memory-span", 0.0)),
-            worth=float(c.get("credit", 1.0)),
-            late_worth=float(c.get("late-worth", 0.0)),
-            stream=bool(c.get("stream", False)),
-        )
-        for c in facts["services"]
-    )
-    plans = tuple(
-        api.Plan(
-            name=str(p["name"]),
-            price=float(p.get("price", 1.0)),
-            rate=float(p.get("quota-rate", 0.0)),
-            burst=float(p.get("burst", 0.0)),
-            open_limit=int(p.get("parallel", 0)),
-            over_worth=float(p.get("beyond-earns", 0.0)),
-            over_cost=float(p.get("beyond-costs", 0.0)),
-            ceiling_rate=float(p.get("hard-rate", 0.0)),
-            ceiling_burst=float(p.get("never-over-depth", 0.0)),
-            ceiling_slack=float(p.get("hard-slack", 0.0)),
-        )
-        for p in facts["plans"]
-    )
-    return api.Settings(
-        number=int(facts["ordinal"]),
-        limiters=int(facts["peers-total"]),
-        tick=float(facts["quantum"]),
-        zone=int(facts["zone"]),
-        classes=classes,
-        plans=plans,
-        rules=api.Rules(
-            cold_share=float(rules["cold-share"]),
-            cold_time=float(rules["cold"]),
-            fall_multiple=float(rules["tip-multiple"]),
-            fall_window=float(rules["fall"]),
-            ask_within=float(rules.get("ask-every", 0.0)),
-        ),
-        allow=api.Allowances(
-            max_attempts=int(limits["most-tries"]),
-            cancel=bool(limits.get("may-cancel", False)),
-            peers=bool(limits.get("peers", False)),
-            retry_after=bool(limits.get("retry-after", False)),
-            max_retry_after=float(limits.get("max-retry-after", 0.0)),
-        ),
-        sources=api.QuotaSources(
-            meter_period=float(family.get("metering", 0.0)),
-            peer_intake=float(family.get("peer-intake", 0.0)),
-            settled_after=bool(family.get("cost-after", False)),
-        ),
-        subscribe=facts["membership-mode"] == "subscribe",
-    )
-
-
 def entry_of(f: Fields) -> api.ServerEntry:
     return api.ServerEntry(
         server=f.text("server"),
--- /dev/null
+++ b/elderlock/net/__init__.py
@@ -0,0 +1,1 @@
+"""The limiter on real sockets: everything round the decision module that does I/O."""
--- /dev/null
+++ b/elderlock/net/config.py
@@ -0,0 +1,85 @@
+"""Checks the configuration that `$PROXY_CONFIG` names into typed values."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from elderlock import interface as api
+from elderlock.settings import SocketSettings, settings_of, socket_settings_of
+
+LEAST_SOCKETS = 64  # below it there would be no room left for clients beside the servers
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text is one plain line for the operator."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    seed: int
+    listen: Address
+    discovery: Address
+    sockets: int
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+    known: Any  # in discovery's form, read as any other list
+    settings: api.Settings
+    socket_settings: SocketSettings
+
+
+def address_of(text: Any) -> Address:
+    host, found, port = str(text).rpartition(":")
+    if not found or not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ValueError(f"{text!r} is not an address like 10.0.0.4:6379")
+    return host, int(port)
+
+
+def _optional_address(value: Any) -> Address | None:
+    return None if value is None else address_of(value)
+
+
+def config_of(raw: Any) -> Config:
+    settings = settings_of(raw["settings"])
+    peers = tuple(address_of(peer) for peer in raw.get("peers", ()))
+    sockets = int(raw["limits"]["sockets"])
+    if sockets < LEAST_SOCKETS:
+        raise ValueError(f"limits.sockets is {sockets}, {LEAST_SOCKETS} are needed")
+    if settings.allow.peers and len(peers) != settings.limiters:
+        raise ValueError(f"peers names {len(peers)} limiters, the settings say {settings.limiters}")
+    return Config(
+        name=str(raw["name"]),
+        seed=int(raw["seed"], 16),
+        listen=address_of(raw["listen"]),
+        discovery=address_of(raw["discovery"]),
+        sockets=sockets,
+        peer_listen=_optional_address(raw.get("peer_listen")),
+        peers=peers,
+        peers_all=_optional_address(raw.get("peers_all")),
+        known=raw.get("known"),
+        settings=settings,
+        socket_settings=socket_settings_of(raw["settings"]),
+    )
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Reads the file; whatever is wrong with it comes out as a `ConfigError`."""
+    path = environ.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG is not set")
+    try:
+        return config_of(json.loads(Path(path).read_text(encoding="utf-8")))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error} is missing or not known") from None
+    except (TypeError, ValueError, AttributeError) as error:
+        text = " ".join(str(error).split())
+        raise ConfigError(f"{path}: {text}") from None
--- /dev/null
+++ b/elderlock/net/gateway.py
@@ -0,0 +1,240 @@
+"""The one `Limiter` of this process: events go in, its actions are carried out.
+
+It owns the clock, the timers and the open requests, and is the only place that answers a request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from elderlock import interface as api
+from elderlock.interface import ListKind, Outcome
+from elderlock.limiter import Limiter
+from elderlock.net.config import Config
+from elderlock.net.discovery import TargetList, parse_list
+from elderlock.net.servers import Attempt, Servers
+
+# ms kept back from a client's patience, which runs from its send: the way here and the way back, across
+# floors at worst (2.6 ms each, and jitter), and a busy loop's lateness on both
+MARGIN = 25.0
+SWEEP_EVERY = 1.0  # s
+FAILED = b"-ERR failed\r\n"
+BUSY = b"-BUSY\r\n"
+
+log = logging.getLogger(__name__)
+
+
+class Clock:
+    """Unix time in ms as it was at the start, carried on by the monotonic clock. Fixing the offset once
+    keeps `boot_ms` of a server the same number in every list: a wandering one would look like a restart,
+    and a step of the system's clock would move every deadline."""
+
+    def __init__(self) -> None:
+        self._offset = time.time() * 1000.0 - time.monotonic() * 1000.0
+
+    def now(self) -> float:
+        return time.monotonic() * 1000.0 + self._offset
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """A client's request as read and checked, with what is needed to pass it on."""
+
+    class_index: int
+    plan_index: int
+    customer: str
+    wait: float  # ms from the client's send
+    units: float
+    spread: int
+    first: int
+    encode: Callable[[float], bytes]  # the command for a server, told how long we will wait
+
+
+class Request:
+    """A request taken from a client, until it is answered and none of its attempts is out."""
+
+    __slots__ = ("answered", "attempts", "command", "name", "out", "reply", "watchdog")
+
+    def __init__(self, name: str, command: Command, reply: Callable[[bytes], None]) -> None:
+        self.name, self.command, self.reply = name, command, reply
+        self.attempts: list[Attempt] = []
+        self.out = 0
+        self.answered = False
+        self.watchdog: asyncio.TimerHandle | None = None
+
+
+class Gateway:
+    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, clock: Clock) -> None:
+        self._loop, self._config, self.now = loop, config, clock.now
+        self.settings = config.settings
+        self.servers = Servers(loop, config.socket_settings, config.sockets, self.now, self._ended)
+        self.tell_peer: Callable[[int, bytes], None] | None = None
+        self._limiter = Limiter(config.settings, config.seed, self.now())
+        self._requests: dict[str, Request] = {}
+        self._events: deque[api.Event] = deque()
+        self._handling = False
+        self._number = 0
+        self.has_list = False
+        self.fresh = asyncio.Event()  # set once discovery itself has told a list
+
+    def start(self) -> None:
+        self._carry_out(self._limiter.start(self.now()))
+        if self._config.known is not None:
+            try:
+                known = parse_list(self._config.known, self._config.socket_settings)
+            except (KeyError, TypeError, ValueError, AttributeError) as error:
+                log.warning("the list known from before cannot be read: %r", error)
+            else:
+                self._list(known, ListKind.REMEMBERED)
+        self._sweep()
+
+    def _sweep(self) -> None:
+        self.servers.sweep()
+        self._loop.call_later(SWEEP_EVERY, self._sweep)
+
+    # What happened
+
+    def listed(self, listed: TargetList) -> None:
+        self.fresh.set()
+        self._list(listed, ListKind.ALL if listed.complete else ListKind.CHANGES)
+
+    def _list(self, listed: TargetList, kind: ListKind) -> None:
+        # the pools first: the module may send to a server in the very actions that answer the list
+        self.servers.update(listed)
+        entries = tuple(target.entry for target in listed.targets)
+        self.has_list = self.has_list or bool(entries)
+        self._happened(api.ServerList(listed.version, kind, entries))
+
+    def told(self, sender: int, data: bytes) -> None:
+        self._happened(api.PeerMessage(sender, data))
+
+    def arrived(self, command: Command, reply: Callable[[bytes], None]) -> str | None:
+        """Takes a request; `reply` is called exactly once, perhaps before this returns. The name stands
+        for it in `client_gone`. Clients' own ids may repeat, so the module is given names of ours."""
+        if len(self._requests) >= self._config.socket_settings.max_open:
+            reply(BUSY)
+            return None
+        self._number += 1
+        name = f"r{self._number}"
+        request = self._requests[name] = Request(name, command, reply)
+        now = self.now()
+        wait = max(command.wait - MARGIN, command.wait / 2)
+        request.watchdog = self._loop.call_later(wait / 1000.0, self._overdue, request)
+        self._happened(
+            api.RequestArrived(
+                request=name,
+                class_index=command.class_index,
+                plan_index=command.plan_index,
+                customer=command.customer,
+                units=command.units,
+                give_up_at=now + wait,
+                spread=command.spread,
+                first=command.first,
+            )
+        )
+        return name
+
+    def client_gone(self, name: str) -> None:
+        request = self._requests.get(name)
+        if request is not None and not request.answered:
+            self._end(request, None)
+            self._happened(api.ClientGone(name))
+
+    def _overdue(self, request: Request) -> None:
+        """Whatever the module does, no client is left without an answer when its patience ends."""
+        if not request.answered:
+            self._end(request, FAILED)
+            self._happened(api.ClientGone(request.name))
+
+    def _ended(self, attempt: Attempt, outcome: Outcome, value: bytes | None) -> None:
+        request = self._requests[attempt.request]
+        request.out -= 1
+        if outcome is Outcome.OK and value is not None and not request.answered:
+            self._end(request, b"$%d\r\n%b\r\n" % (len(value), value))
+        took = self.now() - attempt.started
+        self._happened(
+            api.AttemptEnded(
+                request.name, attempt.number, attempt.server, outcome, took, request.answered
+            )
+        )
+        self._forget_if_over(request)
+
+    def _end(self, request: Request, answer: bytes | None) -> None:
+        """The one place that marks a request answered; None where the client has gone."""
+        request.answered = True
+        if request.watchdog is not None:
+            request.watchdog.cancel()
+            request.watchdog = None
+        if answer is not None:
+            request.reply(answer)
+        self._forget_if_over(request)
+
+    def _forget_if_over(self, request: Request) -> None:
+        if request.answered and request.out == 0:
+            self._requests.pop(request.name, None)
+
+    # The module
+
+    def _happened(self, event: api.Event) -> None:
+        """Queues what happens while actions are carried out (a send that fails at once, say): the module
+        is in the middle of telling what it wants and must not be entered again."""
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._handling = False
+
+    def _handle(self, event: api.Event) -> None:
+        try:
+            actions = self._limiter.handle(event, self.now())
+        except Exception:  # one event that the module cannot take must not end all other requests
+            log.exception("the module failed on %s", type(event).__name__)
+            return
+        self._carry_out(actions)
+
+    def _carry_out(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            match action:
+                case api.SetTimer(wait, token):
+                    self._loop.call_later(wait / 1000.0, self._happened, api.TimerDue(token))
+                case api.Send(name, server, timeout):
+                    self._send(name, server, timeout)
+                case api.Refuse(name, retry_after):
+                    self._answer(name, b"-BUSY %d\r\n" % retry_after if retry_after >= 1.0 else BUSY)
+                case api.Fail(name):
+                    self._answer(name, FAILED)
+                case api.Cancel(name, number):
+                    request = self._requests.get(name)
+                    if request is not None and number < len(request.attempts):
+                        request.attempts[number].give_up(Outcome.CANCELLED)
+                case api.TellPeer(receiver, data):
+                    if self.tell_peer is not None:
+                        self.tell_peer(receiver, data)
+                case api.Log(text):
+                    log.info("%s", text)
+                case api.Subscribe() | api.FetchList():
+                    pass  # the watch is always open here, and brings whatever there is to tell
+
+    def _answer(self, name: str, answer: bytes) -> None:
+        request = self._requests.get(name)
+        if request is not None and not request.answered:
+            self._end(request, answer)
+
+    def _send(self, name: str, server: str, timeout: float) -> None:
+        request = self._requests.get(name)
+        if request is None or request.answered:
+            return  # answered for the module, which had failed on an event
+        request.out += 1
+        attempt = self.servers.send(
+            name, len(request.attempts), server, timeout, request.command.encode
+        )
+        request.attempts.append(attempt)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -23,6 +23,7 @@
 def test_policy_is_the_one_module() -> None:
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     assert deploy["policy"] == ["elderlock/limiter.py"]
+    assert deploy["run"].endswith("-m elderlock")
 
 
 def test_sim_answers_an_empty_batch_and_ends_with_the_input() -> None:
