Test the limiter over loopback; answer broken input before closing

They showed one fault: closing a connection while input on it is unread resets it, and the client loses the -ERR that says why. Parsing and ordering were ruled out (the shorter cases passed). The connection is now half closed and lingers for a second. A header that promises more than a command may hold is refused at once, before the reader sets room aside for it (checked with a probe: hiredis takes *).

--- a/elderlock/net/clients.py
+++ b/elderlock/net/clients.py
@@ -19,9 +19,12 @@
 LONGEST_COMMAND = 1 << 17  # bytes buffered for one command; values hold at most 64 KiB
 LONGEST_TERMS = 1024
 MOST_OWED = 256  # answers owed on one connection, beyond which it is not read from
+LINGER = 1.0  # s that a client has to read why its connection ends
 LONGEST_WAIT = 600_000.0  # ms
 MISSING = object()
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
+# A header that promises far more than any command holds: the reader would set room aside for all of it
+OVERSIZED = re.compile(rb"\*(\d{4,}|\d+\r\n\$\d{6,})")
 REQUEST_ID = re.compile(rb"[!-~]{1,128}")
 
 
@@ -117,7 +120,7 @@
         self._transport: asyncio.Transport | None = None
         self._owed: deque[Owed] = deque()
         self._buffered = 0
-        self._ending = self._clogged = self._paused = False
+        self._ending = self._broken_off = self._clogged = self._paused = False
         self.used_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -136,6 +139,8 @@
     def data_received(self, data: bytes) -> None:
         if self._ending:
             return
+        if not self._buffered and OVERSIZED.match(data):
+            return self._broken("Protocol error: command too long")
         self._buffered += len(data)
         try:
             self._reader.feed(data)
@@ -181,7 +186,7 @@
 
     def _broken(self, text: str) -> None:
         """Nothing that follows can be told apart any more: what is owed is answered, then it closes."""
-        self._ending = True
+        self._ending = self._broken_off = True
         self._owed.append(Owed(b"-ERR %b\r\n" % text.encode()))
         self._flush()
 
@@ -202,8 +207,15 @@
         self.close_if_done()
 
     def close_if_done(self) -> None:
-        if not self._owed and self._transport is not None and (self._ending or self._clients.draining):
-            self._ending = True
+        if self._owed or self._transport is None or not (self._ending or self._clients.draining):
+            return
+        self._ending = True
+        if self._broken_off and not self._transport.is_closing():
+            # closing on input not yet read would reset the connection, and take the -ERR with it
+            self._transport.resume_reading()
+            self._transport.write_eof()
+            self._clients.loop.call_later(LINGER, self._transport.abort)
+        else:
             self._transport.close()  # what is written goes out first
 
     def retire(self) -> None:
--- a/elderlock/net/discovery.py
+++ b/elderlock/net/discovery.py
@@ -81,10 +81,12 @@
         self._url = f"http://{host}:{port}/discovery/hosts"
         self._settings, self._told = settings, told
         self._version: int | None = None
+        self.silent_after = SILENT_AFTER
 
     async def run(self) -> None:
         backoff = FIRST_BACKOFF
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=SILENT_AFTER, sock_read=SILENT_AFTER)
+        silent = self.silent_after
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=silent, sock_read=silent)
         async with aiohttp.ClientSession(timeout=timeout, read_bufsize=LONGEST_LINE) as session:
             while True:
                 before = self._version
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,202 @@
+"""The program as a process, and what it hears from discovery and its peers."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import hiredis
+import pytest
+from loopback import Client, Discovery, Limiter, Server, raw_config, run, target, until
+
+from elderlock.net.config import ConfigError, config_of, load
+from elderlock.net.discovery import Discovery as Watcher
+from elderlock.net.discovery import TargetList
+from elderlock.net.peers import Peers
+
+ROOT = Path(__file__).parent.parent
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+async def program(path: Path, raw: dict[str, Any]) -> asyncio.subprocess.Process:
+    path.write_text(json.dumps(raw))
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-B", "-m", "elderlock", cwd=ROOT,
+        env={**os.environ, "PROXY_CONFIG": str(path)}, stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+
+
+async def ready(port: int) -> Client:
+    """A connection to the program once it answers PING with PONG, as its front looks for."""
+    while True:
+        try:
+            client = await Client.connect(port)
+        except OSError:
+            await asyncio.sleep(0.01)
+            continue
+        client.send("PING")
+        if not isinstance(await client.answer(), hiredis.ReplyError):
+            return client
+        client.close()
+
+
+def test_the_program_serves_and_ends_on_sigterm_with_what_it_took_answered(tmp_path: Path) -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def behave(command: list[bytes]) -> bytes:
+            await release.wait()
+            return b"*3\r\n$4\r\nlast\r\n$-1\r\n$-1\r\n"
+
+        server = await Server(behave).start()
+        agent = await Discovery({"rev": 1, "all": True, "targets": [target("s", server.endpoint)]}).start()
+        port = free_port()
+        raw = raw_config(f"127.0.0.1:{port}", "%s:%d" % agent.address)
+        process = await program(tmp_path / "config.json", raw)
+        client = await ready(port)
+        client.read("owed")
+        await until(lambda: len(server.commands) == 1)
+        process.send_signal(signal.SIGTERM)
+        late = await Client.connect(port)  # the front may not know yet
+        late.read("late")
+        await until(lambda: len(server.commands) == 2)
+        release.set()
+        assert [await client.answer(), await client.answer()] == [b"last", None]
+        assert [await late.answer(), await late.answer()] == [b"last", None]
+        assert await process.wait() == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize("known", [None, {"rev": "x"}, {"rev": 1, "all": True, "targets": [5]}])
+def test_without_discovery_it_is_not_ready_until_a_list_is_known(known: Any) -> None:
+    async def test() -> None:
+        raw = raw_config()
+        limiter = Limiter()
+        limiter.gateway._config = config_of({**raw, "known": known})
+        limiter.gateway.start()
+        assert not limiter.gateway.has_list
+        limiter.gateway._config = config_of(
+            {**raw, "known": {"rev": 1, "all": True, "targets": [target("s", "127.0.0.1:1")]}}
+        )
+        limiter.gateway.start()
+        assert limiter.gateway.has_list
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("change", "message"),
+    [
+        ({"listen": "nowhere"}, "'nowhere' is not an address"),
+        ({"seed": "xyz"}, "invalid literal"),
+        ({"settings": {}}, "'rules' is missing"),
+        ({"settings": None}, "not subscriptable"),
+        ({"limits": {"sockets": 3}}, "limits.sockets is 3"),
+    ],
+)
+def test_a_bad_configuration_is_named(change: dict[str, Any], message: str, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({**raw_config(), **change}))
+    with pytest.raises(ConfigError, match=message):
+        load({"PROXY_CONFIG": str(path)})
+
+
+@pytest.mark.parametrize("text", ["{", "[]", "5", None])
+def test_a_bad_configuration_ends_the_program_with_one_line(text: str | None, tmp_path: Path) -> None:
+    async def test() -> None:
+        path = tmp_path / "config.json"
+        if text is not None:
+            path.write_text(text)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "elderlock", cwd=ROOT,
+            env={**os.environ, "PROXY_CONFIG": str(path)}, stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        _, error = await process.communicate()
+        assert process.returncode == 2
+        assert error.count(b"\n") == 1
+        assert error.startswith(b"elderlock: ")
+
+    run(test())
+
+
+def test_discovery_takes_the_whole_list_then_changes_and_comes_back_from_the_last_version() -> None:
+    async def test() -> None:
+        agent = await Discovery({"rev": 7, "all": True, "targets": [target("a", "127.0.0.1:1")]}).start()
+        told: list[TargetList] = []
+        settings = config_of(raw_config()).socket_settings
+        watcher = asyncio.ensure_future(Watcher(agent.address, settings, told.append).run())
+        await until(lambda: len(agent.watches) == 1)
+        assert [(t.version, t.complete, len(t.targets)) for t in told] == [(7, True, 1)]
+        bad = {"uid": "b", "endpoint": "no address", "state": "up"}
+        good = target("c", "127.0.0.1:2", state="draining")
+        line = json.dumps({"rev": 8, "all": False, "targets": [bad, good]}).encode()
+        agent.say(b"\n" + line[:20])
+        agent.say(line[20:] + b"\n")
+        await until(lambda: len(told) == 2)
+        assert [t.entry.server for t in told[1].targets] == ["c"]  # the bad entry spoils only itself
+        agent.watches[-1].transport.abort()
+        await until(lambda: len(agent.watches) == 2)
+        assert agent.asked[-1].endswith("watch=1&after=8")
+        agent.say(b"nonsense\n")  # what it said is lost: the whole list is asked for anew
+        await until(lambda: len(told) == 3)
+        assert told[2].version == 7
+        watcher.cancel()
+
+    run(test())
+
+
+def test_a_watch_that_falls_silent_is_dead() -> None:
+    async def test() -> None:
+        agent = await Discovery({"rev": 7, "all": True, "targets": []}).start()
+        settings = config_of(raw_config()).socket_settings
+        watcher = Watcher(agent.address, settings, lambda listed: None)
+        watcher.silent_after = 0.05
+        task = asyncio.ensure_future(watcher.run())
+        await until(lambda: len(agent.watches) == 2)  # the first was never closed, only silent
+        task.cancel()
+
+    run(test())
+
+
+def test_peers_are_known_by_address_and_their_number_taken_in_is_limited() -> None:
+    async def test() -> None:
+        told: list[tuple[int, bytes]] = []
+        clock = [0.0]
+        loop = asyncio.get_running_loop()
+
+        async def bound() -> tuple[asyncio.DatagramTransport, tuple[str, int]]:
+            transport, _ = await loop.create_datagram_endpoint(
+                asyncio.DatagramProtocol, local_addr=("127.0.0.1", 0)
+            )
+            return transport, transport.get_extra_info("sockname")
+
+        (one, one_at), (stranger, _) = await bound(), await bound()
+        both = (("127.0.0.1", 1), one_at)
+        peers = Peers(both, None, 3.0, lambda n, d: told.append((n, d)), lambda: clock[0])
+        transport, _ = await loop.create_datagram_endpoint(lambda: peers, local_addr=("127.0.0.1", 0))
+        at = transport.get_extra_info("sockname")
+        stranger.sendto(b"stranger", at)
+        one.sendto(b"x" * 257, at)
+        for number in range(5):
+            one.sendto(b"%d" % number, at)
+        await until(lambda: len(told) == 3)
+        clock[0] = 1000.0
+        one.sendto(b"last", at)
+        await until(lambda: told[-1][1] == b"last")
+        assert told[:3] == [(1, b"0"), (1, b"1"), (1, b"2")]
+        peers.send(-1, b"to nobody")
+        peers.send(1, b"y" * 257)
+        assert len(told) == 4
+
+    run(test())
--- /dev/null
+++ b/tests/test_servers.py
@@ -0,0 +1,217 @@
+"""Attempts over loopback: outcomes, pooled connections, drains and deadlines."""
+
+import asyncio
+
+import pytest
+from loopback import Answer, Limiter, Server, answers, raw_config, run, served, target, until
+
+from elderlock.interface import AttemptEnded, Event, Outcome
+from elderlock.net.config import config_of
+from elderlock.net.discovery import parse_list
+from elderlock.net.gateway import Clock
+from elderlock.net.servers import Attempt, Servers
+
+
+def outcomes(limiter: Limiter) -> list[Outcome]:
+    """Collects the outcomes that the module is told."""
+    seen: list[Outcome] = []
+    handle = limiter.gateway._limiter.handle
+
+    def watched(event: Event, now: float) -> list[object]:
+        if isinstance(event, AttemptEnded):
+            seen.append(event.outcome)
+        return handle(event, now)  # type: ignore[return-value]
+
+    limiter.gateway._limiter.handle = watched  # type: ignore[method-assign,assignment]
+    return seen
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [
+        (served(b""), Outcome.OK),
+        (b"-ERR failed\r\n", Outcome.ERROR),
+        (b"-ERR failed queue=3\r\n", Outcome.ERROR),
+        (b"-BUSY\r\n", Outcome.FULL),
+        (b"-BUSY queue=3\r\n", Outcome.FULL),
+        (b":5\r\n", Outcome.ERROR),
+        (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", Outcome.ERROR),
+        (b"garbage\r\n", Outcome.ERROR),
+        (served(b"one") + served(b"two"), Outcome.OK),
+        (b"$200000000\r\n" + b"x" * 300000, Outcome.ERROR),
+    ],
+)
+def test_what_comes_back_has_its_outcome(answer: bytes, outcome: Outcome) -> None:
+    async def test() -> None:
+        limiter = await Limiter.start(await Server(answers(answer)).start())
+        seen = outcomes(limiter)
+        client = await limiter.client()
+        got = await client.ask("x")
+        assert seen[0] is outcome
+        assert isinstance(got, bytes) == (outcome is Outcome.OK)
+        assert await client.ask("y") is not None  # and the limiter goes on
+
+    run(test())
+
+
+def test_a_broken_connection_is_a_reset_and_another_server_serves() -> None:
+    async def test() -> None:
+        broken: list[Server] = []
+
+        async def behave(command: list[bytes]) -> Answer:
+            if not broken:
+                broken.append(first if command in first.commands else second)
+                broken[0].reset()
+                return None
+            return served(b"again")
+
+        first, second = await Server(behave).start(), await Server(behave).start()
+        limiter = await Limiter.start(first, second)
+        seen = outcomes(limiter)
+        client = await limiter.client()
+        assert await client.ask("x") == b"again"
+        assert seen == [Outcome.RESET, Outcome.OK]
+
+    run(test())
+
+
+def test_a_refused_connection_never_ran_and_does_not_reenter_the_module() -> None:
+    async def test() -> None:
+        server = await Server().start()
+        limiter = await Limiter.start()
+        limiter.tell(target("s-0", "127.0.0.1:1"))
+        seen = outcomes(limiter)
+        client = await limiter.client()
+        answer = await client.ask("x")
+        assert str(answer).startswith("BUSY")  # a refusal: it is certain that nothing ran
+        assert set(seen) == {Outcome.CONNECT_FAILED}
+        limiter.tell(target("s-1", server.endpoint))
+        assert await client.ask("y") == b"value"
+
+    run(test())
+
+
+def test_connections_are_reused_the_latest_first() -> None:
+    async def test() -> None:
+        server = await Server().start()
+        limiter = await Limiter.start(server)
+        client = await limiter.client()
+        for number in range(20):
+            assert await client.ask(f"x{number}") == b"value"
+        assert server.accepted == 1
+
+    run(test())
+
+
+def test_idle_connections_go_before_the_keepalive_ends_and_on_a_drain() -> None:
+    async def test() -> None:
+        server = await Server().start()
+        limiter = await Limiter.start(server)
+        client = await limiter.client()
+        assert await client.ask("x") == b"value"
+        limiter.gateway.servers.idle_for = -1.0  # all that is idle is too old
+        limiter.gateway.servers.sweep()
+        await until(lambda: server.lost == 1)
+        assert await client.ask("y") == b"value"
+        limiter.tell(target("s-0", server.endpoint, state="draining"), complete=False)
+        await until(lambda: server.lost == 2)
+
+    run(test())
+
+
+def test_nothing_goes_to_a_server_that_drains_and_a_restart_gets_new_connections() -> None:
+    async def test() -> None:
+        first, second = await Server().start(), await Server().start()
+        limiter = await Limiter.start(first, second)
+        client = await limiter.client()
+        limiter.tell(target("s-0", first.endpoint, state="draining"), complete=False)
+        for number in range(10):
+            assert await client.ask(f"x{number}") == b"value"
+        assert (len(first.commands), len(second.commands)) == (0, 10)
+        limiter.tell(target("s-1", second.endpoint, boot_ms=limiter.clock.now() - 60000.0), complete=False)
+        await until(lambda: second.lost == 1)
+        assert await client.ask("y") == b"value"
+        assert second.accepted == 2
+
+    run(test())
+
+
+class Bare:
+    """The pools alone, so that a test can act between the start of a dial and its end."""
+
+    def __init__(self) -> None:
+        config = config_of(raw_config())
+        self.settings = config.socket_settings
+        self.ended: list[Outcome] = []
+        loop = asyncio.get_running_loop()
+        self.servers = Servers(loop, self.settings, config.sockets, Clock().now, self._ended)
+
+    def _ended(self, attempt: Attempt, outcome: Outcome, value: bytes | None) -> None:
+        self.ended.append(outcome)
+
+    def tell(self, *targets: dict[str, object]) -> None:
+        self.servers.update(parse_list({"rev": 1, "all": False, "targets": list(targets)}, self.settings))
+
+    def send(self, timeout: float = 60000.0) -> Attempt:
+        return self.servers.send("r", 0, "s-0", timeout, lambda wait: b"*1\r\n$1\r\nx\r\n")
+
+
+def test_a_drain_heard_while_dialling_stops_the_send() -> None:
+    """The module chose the server before the news; the rule counts from the news."""
+
+    async def test() -> None:
+        server, bare = await Server().start(), Bare()
+        bare.tell(target("s-0", server.endpoint))
+        bare.send()
+        bare.tell(target("s-0", server.endpoint, state="draining"))
+        await until(lambda: server.lost == 1)  # dialled, and closed again
+        assert bare.ended == [Outcome.MOOT]
+        assert server.commands == []
+
+    run(test())
+
+
+def test_what_is_cancelled_or_out_of_time_while_dialling_is_never_written() -> None:
+    async def test() -> None:
+        server, bare = await Server().start(), Bare()
+        bare.tell(target("s-0", server.endpoint))
+        bare.send().give_up(Outcome.CANCELLED)
+        bare.send(timeout=0.0).timed_out()
+        assert bare.ended == [Outcome.CANCELLED, Outcome.CONNECT_FAILED]
+        await until(lambda: server.accepted == 2)
+        bare.send()  # on one of the two, which were kept
+        await until(lambda: len(bare.ended) == 3)
+        assert (len(server.commands), bare.ended[-1]) == (1, Outcome.OK)
+
+    run(test())
+
+
+def test_connections_are_bounded_and_an_idle_one_elsewhere_gives_way() -> None:
+    async def test() -> None:
+        server, other, bare = await Server(answers(None)).start(), await Server().start(), Bare()
+        bare.servers._most, bare.servers._most_each = 3, 2
+        bare.tell(target("s-0", other.endpoint))
+        bare.send()
+        await until(lambda: bare.ended == [Outcome.OK])
+        bare.tell(target("s-0", server.endpoint))  # it moved: what was idle is closed
+        for _ in range(3):
+            bare.send()
+        assert bare.ended[1:] == [Outcome.CONNECT_FAILED]
+        await until(lambda: len(server.commands) == 2 and bare.servers.count == 2)
+
+    run(test())
+
+
+def test_a_silent_server_is_given_up_in_time_and_late_answers_reach_nobody() -> None:
+    async def test() -> None:
+        server = await Server(answers(None)).start()
+        limiter = await Limiter.start(server)
+        client = await limiter.client()
+        loop = asyncio.get_running_loop()
+        before = loop.time()
+        answer = await client.ask("x", d=300)
+        assert str(answer).startswith("ERR")  # it may have run, so no refusal
+        assert loop.time() - before < 0.3
+        await until(lambda: server.lost == len(server.commands))
+
+    run(test())
