Count dials in one place; bound one command, not a busy connection

Found by reading, each confirmed by a test that fails on the code before: - The bytes buffered for a command were reset only when the reader ran empty. A connection whose chunks end inside commands came to the bound after 128 KiB and was broken off with all it owed. - A drain closed a connection after the first of several commands that had come in together; the others were lost. - A dial that timed out in the moment it came up could be counted down twice, and the bound on connections would have drifted. Its test shows the time-out and the count on a port that answers nothing. Ruled out: the parser and hiredis (reader.len() checked with a probe: what is unread, and up to 1 KiB that is read).

--- a/elderlock/net/clients.py
+++ b/elderlock/net/clients.py
@@ -121,7 +121,7 @@
         self._transport: asyncio.Transport | None = None
         self._owed: deque[Owed] = deque()
         self._buffered = 0
-        self._ending = self._half_closed = self._clogged = self._paused = False
+        self._ending = self._half_closed = self._reading = self._clogged = self._paused = False
         self.used = False
         self.used_at = 0.0
 
@@ -152,6 +152,15 @@
 
     def _read(self) -> None:
         """Takes whole commands while not too much is owed; the rest waits in the reader."""
+        self._reading = True
+        try:
+            self._take()
+        finally:
+            self._reading = False
+        self._throttle()
+        self.close_if_done()
+
+    def _take(self) -> None:
         while not self._ending and len(self._owed) < MOST_OWED:
             try:
                 message = self._reader.gets()
@@ -161,12 +170,11 @@
                 if self._buffered > LONGEST_COMMAND:
                     self._broken("Protocol error: command too long")
                 break
-            if not self._reader.has_data():
-                self._buffered = 0
+            # what is left belongs to the commands that follow, or a busy connection would come to its bound
+            self._buffered = self._reader.len() if self._reader.has_data() else 0
             if not isinstance(message, list) or not message or not all(type(p) is bytes for p in message):
                 return self._broken("Protocol error: expected an array of bulk strings")
             self._command(message)
-        self._throttle()
 
     def _command(self, parts: list[Any]) -> None:
         self.used, self.used_at = True, self._clients.gateway.now()
@@ -211,6 +219,8 @@
     def close_if_done(self) -> None:
         if self._owed or self._transport is None or not (self._ending or self._clients.draining):
             return
+        if not self._ending and (self._reading or self._reader.has_data()):
+            return  # commands that have come in, wholly or in part, are owed an answer before a drain closes
         if not self._transport.is_closing() and not self._half_closed:
             # Only our side is closed, and what still comes in is dropped: a close with input unread, or
             # crossing a further request, would reset the connection and take the last answer with it.
--- a/elderlock/net/servers.py
+++ b/elderlock/net/servers.py
@@ -67,11 +67,12 @@
     """A connection that carries one attempt at a time: answers come in order, so a second one would
     wait behind a slow first."""
 
-    __slots__ = ("_buffered", "_reader", "_transport", "attempt", "idle_at", "pool")
+    __slots__ = ("_buffered", "_reader", "_transport", "adopted", "attempt", "idle_at", "pool")
 
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
         self.attempt: Attempt | None = None
+        self.adopted = False  # its dial has ended well; until then the dial counts it
         self.idle_at = 0.0
         self._reader = hiredis.Reader(notEnoughData=MISSING)
         self._buffered = 0
@@ -123,7 +124,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         attempt, self.attempt = self.attempt, None
-        self.pool.lost(self)
+        if self.adopted:
+            self.pool.lost(self)
         if attempt is not None:
             attempt.connection = None
             attempt.end(Outcome.RESET)
@@ -268,20 +270,18 @@
 
     async def _dial(self, pool: Pool, attempt: Attempt) -> None:
         host, port = pool.address
-        connection = None
+        connection = ServerConnection(pool)
         try:
             async with asyncio.timeout(self._dial_timeout):
-                _, connection = await self._loop.create_connection(
-                    lambda: ServerConnection(pool), host, port
-                )
+                await self._loop.create_connection(lambda: connection, host, port)
         except (OSError, TimeoutError):
+            connection.abort()  # it may have come up in the same moment
+        now = self.now()
+        connection.adopted = connection.usable()
+        if not connection.adopted:  # counted down here alone, whether or not it was up for a moment
             pool.count -= 1
             self.count -= 1
             attempt.end(Outcome.CONNECT_FAILED)
-            return
-        now = self.now()
-        if not connection.usable():
-            attempt.end(Outcome.CONNECT_FAILED)
         elif attempt.over:  # cancelled or timed out meanwhile: nothing may be written for it any more
             pool.release(connection)
         elif pool.leaving or pool.closed:  # heard of the drain while dialling
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -131,6 +131,41 @@
     run(test())
 
 
+def test_commands_cut_anywhere_never_come_to_the_bound_of_one() -> None:
+    """Each chunk ends inside a command, so the reader is never empty while far more than one passes."""
+
+    async def test() -> None:
+        limiter = await Limiter.start(await Server().start())
+        client = await limiter.client()
+        ping = b"*1\r\n$4\r\nPING\r\n"
+        stream = ping * 20000
+        for at in range(5, len(stream), 10 * len(ping)):
+            client.writer.write(stream[0 if at == 5 else at : at + 10 * len(ping)])
+            await client.writer.drain()
+            for _ in range(10 if at + 10 * len(ping) <= len(stream) else 0):
+                assert not isinstance(await client.answer(), hiredis.ReplyError)
+
+    run(test())
+
+
+def test_a_drain_answers_all_commands_that_came_in_together() -> None:
+    async def test() -> None:
+        limiter = await Limiter.start(await Server().start())
+        client, held = await limiter.client(), await limiter.client()
+        held.writer.write(b"*1\r\n$4\r\nPI")  # begun, so it is owed an answer once it is whole
+        client.send("PING")
+        await client.answer()
+        limiter.clients.draining = True
+        client.writer.write(b"*1\r\n$4\r\nPING\r\n" * 3)
+        answers = [await client.answer() for _ in range(4)]
+        assert answers[-1] is None and not any(a is None for a in answers[:3])
+        held.writer.write(b"NG\r\n")
+        assert await held.answer() is not None
+        assert await held.answer() is None
+
+    run(test())
+
+
 def test_a_client_that_goes_away_ends_its_attempt() -> None:
     async def test() -> None:
         server = await Server(answers(None)).start()
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -1,6 +1,8 @@
 """Attempts over loopback: outcomes, pooled connections, drains and deadlines."""
 
 import asyncio
+import contextlib
+import socket
 
 import pytest
 from loopback import Answer, Limiter, Server, answers, raw_config, run, served, target, until
@@ -186,6 +188,28 @@
     run(test())
 
 
+def test_a_dial_that_never_comes_up_is_given_up_and_counted_down() -> None:
+    """A machine that vanished answers nothing: neither a connection nor a refusal."""
+
+    async def test() -> None:
+        loop, bare = asyncio.get_running_loop(), Bare()
+        with socket.socket() as silent, contextlib.ExitStack() as waiting:
+            silent.bind(("127.0.0.1", 0))
+            silent.listen(0)
+            for _ in range(4):  # the queue of those not accepted fills, and further ones get no answer
+                filler = waiting.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex(silent.getsockname())
+            bare.tell(target("s-0", "127.0.0.1:%d" % silent.getsockname()[1]))
+            before = loop.time()
+            bare.send()
+            await until(lambda: bare.ended == [Outcome.CONNECT_FAILED])
+            assert loop.time() - before >= 0.24  # the settings' time-out, as no refusal came
+            assert bare.servers.count == 0
+
+    run(test())
+
+
 def test_connections_are_bounded_and_an_idle_one_elsewhere_gives_way() -> None:
     async def test() -> None:
         server, other, bare = await Server(answers(None)).start(), await Server().start(), Bare()
