Reload on SIGHUP: turn discovery to the new address and keep all else

At fault: __main__ installed handlers for SIGTERM and SIGINT alone, and Discovery had one address for its life.

The handler is the first thing installed, and reads the file in one step of the loop, so signals close together come one after the other. At a new address the whole list is asked for at once and then watched from its own rev; the old watch stays till that list is in, and a follower that has told nothing is dropped when a further reload names another address. A bad file is one line in the log.

Tests: the two fail without the change (no follow(); exit -1 on SIGHUP).

--- a/elderlock/__main__.py
+++ b/elderlock/__main__.py
@@ -1,4 +1,4 @@
-"""Starts one limiter: reads the configuration, wires the parts, and ends on SIGTERM."""
+"""Starts one limiter: reads the configuration, wires the parts, reloads on SIGHUP and ends on SIGTERM."""
 
 from __future__ import annotations
 
@@ -22,12 +22,27 @@
 FRESH_LIST_WITHIN = 1.0  # s that the fresh list is waited for, where one is known from before
 
 
+def reload(discovery: Discovery) -> None:
+    """Turns to what the replaced file names. Open requests, pools and the listener know nothing of it.
+    It is one step of the loop, so that signals close together are taken one after the other."""
+    try:
+        config = load(os.environ)
+    except ConfigError as error:  # a half-written or wrong file must not end a limiter that serves
+        logging.error("the configuration stays as it was: %s", error)
+        return
+    discovery.follow(config.discovery)
+    logging.info("discovery is at %s:%d", *config.discovery)
+
+
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
+    gateway = Gateway(loop, config, Clock())
+    discovery = Discovery(config.socket_settings, gateway.listed)
+    # before anything else: a SIGHUP that nobody handles ends the process
+    loop.add_signal_handler(signal.SIGHUP, reload, discovery)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    gateway = Gateway(loop, config, Clock())
     peers = None
     if config.peer_listen is not None:
         intake = config.settings.sources.peer_intake
@@ -36,8 +51,7 @@
         gateway.tell_peer = peers.send
     gateway.start()
     clients = Clients(loop, gateway, config.sockets)
-    discovery = Discovery(config.discovery, config.socket_settings, gateway.listed)
-    following = loop.create_task(discovery.run())
+    discovery.follow(config.discovery)
     try:
         # what is known from before may be old: serving from it is for when discovery is silent
         async with asyncio.timeout(FRESH_LIST_WITHIN):
@@ -51,8 +65,7 @@
     await stop.wait()
     logging.info("%s stops", config.name)
     await clients.drain(ACCEPT_FOR, EXIT_WITHIN)
-    following.cancel()
-    await asyncio.gather(following, return_exceptions=True)
+    discovery.stop()
     gateway.servers.close()
     if peers is not None:
         peers.close()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -205,6 +205,9 @@
         self.whole = whole
         self.asked: list[str] = []
         self.watches: list[asyncio.StreamWriter] = []
+        self.waiting: list[asyncio.StreamWriter] = []
+        self.muted = False  # takes what it is asked and says nothing
+        self.lost = 0
         self._server: asyncio.Server | None = None
         self.address = ("127.0.0.1", 0)
 
@@ -214,20 +217,29 @@
         return self
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while True:
-            line = await reader.readline()
-            if not line:
-                return
-            while (await reader.readline()).strip():
-                pass
-            path = line.split()[1].decode()
-            self.asked.append(path)
-            if "watch=1" in path:
-                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-                self.watches.append(writer)
-                return
-            body = json.dumps(self.whole).encode()
+        try:
+            while line := await reader.readline():
+                while (await reader.readline()).strip():
+                    pass
+                path = line.split()[1].decode()
+                self.asked.append(path)
+                if "watch=1" in path:
+                    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                    self.watches.append(writer)
+                else:
+                    self.waiting.append(writer)
+                    if not self.muted:
+                        self.answer()
+        except ConnectionError:
+            pass
+        finally:
+            self.lost += 1
+
+    def answer(self) -> None:
+        body = json.dumps(self.whole).encode()
+        for writer in self.waiting:
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        self.waiting.clear()
 
     def say(self, line: bytes) -> None:
         self.watches[-1].write(b"%x\r\n%b\r\n" % (len(line), line))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -136,7 +136,8 @@
         agent = await Discovery({"rev": 7, "all": True, "targets": [target("a", "127.0.0.1:1")]}).start()
         told: list[TargetList] = []
         settings = config_of(raw_config()).socket_settings
-        watcher = asyncio.ensure_future(Watcher(agent.address, settings, told.append).run())
+        watcher = Watcher(settings, told.append)
+        watcher.follow(agent.address)
         await until(lambda: len(agent.watches) == 1)
         assert [(t.version, t.complete, len(t.targets)) for t in told] == [(7, True, 1)]
         bad = {"uid": "b", "endpoint": "no address", "state": "up"}
@@ -152,7 +153,71 @@
         agent.say(b"nonsense\n")  # what it said is lost: the whole list is asked for anew
         await until(lambda: len(told) == 3)
         assert told[2].version == 7
-        watcher.cancel()
+        watcher.stop()
+
+    run(test())
+
+
+def test_a_new_address_is_asked_for_all_and_the_old_watch_stays_till_it_is_told() -> None:
+    async def test() -> None:
+        old = await Discovery({"rev": 70, "all": True, "targets": []}).start()
+        mute = await Discovery({"rev": 1, "all": True, "targets": []}).start()
+        new = await Discovery({"rev": 3, "all": True, "targets": []}).start()
+        mute.muted = new.muted = True
+        told: list[int] = []
+        watcher = Watcher(config_of(raw_config()).socket_settings, lambda listed: told.append(listed.version))
+        watcher.follow(old.address)
+        await until(lambda: len(old.watches) == 1)
+        watcher.follow(mute.address)
+        await until(lambda: len(mute.asked) == 1)
+        watcher.follow(new.address)  # before the one in between has told anything
+        await until(lambda: len(new.asked) == 1 and mute.lost == 1)
+        old.say(b'{"rev":71,"all":false,"targets":[]}\n')
+        await until(lambda: told == [70, 71])  # a drain told there just now is not missed
+        new.muted = False
+        new.answer()
+        await until(lambda: len(new.watches) == 1 and old.lost == 2)
+        assert new.asked == ["/discovery/hosts", "/discovery/hosts?watch=1&after=3"]
+        assert told == [70, 71, 3]
+        watcher.stop()
+
+    run(test())
+
+
+def test_a_reload_turns_to_the_new_discovery_and_keeps_what_is_open(tmp_path: Path) -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def behave(command: list[bytes]) -> bytes:
+            await release.wait()
+            return b"*3\r\n$4\r\nkept\r\n$-1\r\n$-1\r\n"
+
+        server = await Server(behave).start()
+        whole = {"rev": 9, "all": True, "targets": [target("s", server.endpoint)]}
+        old, new = await Discovery(whole).start(), await Discovery({**whole, "rev": 2}).start()
+        port = free_port()
+        raw = raw_config(f"127.0.0.1:{port}", "%s:%d" % old.address)
+        path = tmp_path / "config.json"
+        process = await program(path, raw)
+        client = await ready(port)
+        client.read("open")
+        await until(lambda: len(server.commands) == 1)
+        assert process.stderr is not None
+        path.write_text("{")  # a bad file is told in one line, and nothing changes
+        process.send_signal(signal.SIGHUP)
+        while b"stays as it was" not in await process.stderr.readline():
+            pass
+        path.write_text(json.dumps({**raw, "discovery": "%s:%d" % new.address}))
+        process.send_signal(signal.SIGHUP)
+        await until(lambda: len(new.watches) == 1)
+        await until(lambda: old.lost == len(old.asked))
+        assert new.asked[-1].endswith("after=2")
+        release.set()
+        assert await client.answer() == b"kept"
+        assert await client.ask("next") == b"kept"
+        assert server.accepted == 1
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
 
     run(test())
 
@@ -161,11 +226,11 @@
     async def test() -> None:
         agent = await Discovery({"rev": 7, "all": True, "targets": []}).start()
         settings = config_of(raw_config()).socket_settings
-        watcher = Watcher(agent.address, settings, lambda listed: None)
+        watcher = Watcher(settings, lambda listed: None)
         watcher.silent_after = 0.05
-        task = asyncio.ensure_future(watcher.run())
+        watcher.follow(agent.address)
         await until(lambda: len(agent.watches) == 2)  # the first was never closed, only silent
-        task.cancel()
+        watcher.stop()
 
     run(test())
 
