Read RESP strictly; bound what clients and servers can cost

A probe of hiredis showed that the CRLF behind a string is not read either. Ruled out: CPU of the usual traffic (0.2 s a second), servers (they had answered). At fault: the readers of net/clients and net/servers.

net/resp.py reads both sides strictly, item by item, and refuses a length before what it announces is taken in; at most 16 KiB are read at once. - Servers: only the protocol's three items or an error line are an answer; an answer with more behind it is served and its connection closed; one that stops half way is given up after a tenth of the aim; a connection rests 20 ms before it is used again, and closes on any byte while idle; a dial leaves its request after 0.15 aims and goes on for the next one; a bound of our own is told as moot, not as the server's failure; a new server at a known address ends the old one's pool and its entry. - Clients: numbers in the protocol's form, units up to the settings' largest; the id of an open request gets -ERR; without a whole command for 2 s, not reading for 2 s, or with 16 mistakes in a row a connection ends; where descriptors are few those closing go first, then those that never asked, then the longest unused; nothing is scanned for that in a flood.

hiredis is needed by the tests alone now. Tests: each of these fails on the state before (test_resp.py is new).

--- a/elderlock/net/clients.py
+++ b/elderlock/net/clients.py
@@ -7,26 +7,28 @@
 from collections import deque
 from collections.abc import Callable
 from functools import partial
-from math import isfinite
-from typing import Any, cast
-
-import hiredis
+from typing import cast
 
 from elderlock import interface as api
 from elderlock.net.gateway import Command, Gateway
+from elderlock.net.resp import CommandReader, ProtocolError
 
-CLIENT_SHARE = 0.5  # of the descriptors; servers have their own share
-LONGEST_COMMAND = 1 << 17  # bytes buffered for one command; values hold at most 64 KiB
+CLIENT_SHARE = 0.45  # of the descriptors; clients hold a third at most for requests, servers have their own
+RECEIVE = 1 << 14  # bytes read at once, whatever a client sends: with one command the most kept of it
 LONGEST_TERMS = 1024
-MOST_OWED = 256  # answers owed on one connection, beyond which it is not read from
-LINGER = 1.0  # s that a client has to read its last answer and close in turn
+MOST_OWED = 64  # answers owed on one connection, beyond which it is not read from
+MOST_ERRORS = 16  # in a row on one connection: who sends but these is no client of ours
+SILENT_FOR = 2.0  # s that a connection may stand without a whole command, or a client not read its answers
+LOOK_EVERY = 0.5  # s between looks for such: within 3 s of connecting each has an error or a close
+LINGER = 0.5  # s that a client has to read its last answer and close in turn
+MOST_DROPPED = 1 << 18  # bytes read and dropped in that time
 POLL = 0.01  # s in which the loop reads what has come in already, before connections are closed
 LONGEST_WAIT = 600_000.0  # ms
-MISSING = object()
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
-# A header that promises far more than any command holds: the reader would set room aside for all of it
-OVERSIZED = re.compile(rb"\*(\d{4,}|\d+\r\n\$\d{6,})")
 REQUEST_ID = re.compile(rb"[!-~]{1,128}")
+# The protocol's numbers: float() would take 1_0, 1e3, infinity and spaces as well, int() cut 1.7 to 1
+WHOLE = re.compile(r"[0-9]{1,9}")
+DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 class CommandError(Exception):
@@ -36,12 +38,13 @@
 class Reader:
     """Reads API.READ against the settings' names."""
 
-    def __init__(self, settings: api.Settings) -> None:
+    def __init__(self, settings: api.Settings, largest: float) -> None:
+        self._largest = largest
         self._classes = {c.name: i for i, c in enumerate(settings.classes) if c.effect is api.Effect.SAFE}
         self._plans = {plan.name: i for i, plan in enumerate(settings.plans)}
         self._limiters = settings.limiters
 
-    def command(self, parts: list[Any]) -> Command:
+    def command(self, parts: list[bytes]) -> Command:
         if len(parts) != 4:
             raise CommandError("wrong number of arguments for API.READ")
         _, customer, name, terms = parts
@@ -61,10 +64,11 @@
                 class_index=_index(self._classes, values, "c", "class"),
                 plan_index=_index(self._plans, values, "t", "plan"),
                 customer=customer.decode("ascii").lower(),
-                wait=_number(values, "d", 1.0, LONGEST_WAIT),
-                units=_number(values, "units", 0.0, 1e6),
-                spread=int(_number(values, "spread", 1, self._limiters)),
-                first=int(_number(values, "first", 0, self._limiters - 1)),
+                name=name,
+                wait=_number(values, "d", DECIMAL, 1.0, LONGEST_WAIT),
+                units=_number(values, "units", DECIMAL, 1e-9, self._largest),
+                spread=int(_number(values, "spread", WHOLE, 1, self._limiters)),
+                first=int(_number(values, "first", WHOLE, 0, self._limiters - 1)),
                 encode=_encoder(customer, name, pairs),
             )
         except UnicodeDecodeError:
@@ -78,12 +82,12 @@
     return index
 
 
-def _number(values: dict[str, str], key: str, least: float, most: float) -> float:
-    try:
-        number = float(values[key])
-    except (KeyError, ValueError):
-        raise CommandError(f"'{key}' is missing or not a number") from None
-    if not isfinite(number) or not least <= number <= most:
+def _number(values: dict[str, str], key: str, form: re.Pattern[str], least: float, most: float) -> float:
+    text = values.get(key, "")
+    if not form.fullmatch(text):
+        raise CommandError(f"'{key}' is missing or not a number")
+    number = float(text)
+    if not least <= number <= most:
         raise CommandError(f"'{key}' is out of range")
     return number
 
@@ -114,88 +118,93 @@
         self.request: str | None = None
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     def __init__(self, clients: Clients) -> None:
         self._clients = clients
-        self._reader = hiredis.Reader(notEnoughData=MISSING)
+        self._reader = CommandReader()
         self._transport: asyncio.Transport | None = None
         self._owed: deque[Owed] = deque()
-        self._buffered = 0
         self._ending = self._half_closed = self._reading = self._clogged = self._paused = False
+        self._errors = self._dropped = 0
+        self._linger: asyncio.TimerHandle | None = None
         self.used = False
-        self.used_at = 0.0
+        self.since = clients.loop.time()  # when it began to wait for a whole command, or to be read
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop has no common base class
-        self.used_at = self._clients.gateway.now()
         self._clients.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._clients.closed(self)
         self._ending = True
+        if self._linger is not None:
+            self._linger.cancel()
         owed, self._owed = self._owed, deque()
         for place in owed:
             if place.request is not None and place.answer is None:
                 self._clients.gateway.client_gone(place.request)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._clients.received  # one for all: what is read is taken out before the next read
+
+    def buffer_updated(self, nbytes: int) -> None:
         if self._ending:
+            # dropped, so that the close does not reset the last answer away; but not for ever
+            self._dropped += nbytes
+            if self._dropped > MOST_DROPPED:
+                self.abort()
             return
-        if not self._buffered and OVERSIZED.match(data):
-            return self._broken("Protocol error: command too long")
-        self._buffered += len(data)
-        try:
-            self._reader.feed(data)
-        except (hiredis.HiredisError, ValueError, MemoryError):
-            return self._broken("Protocol error")
+        if not self._reader.pending():
+            self.since = self._clients.loop.time()
+        self._reader.feed(self._clients.received[:nbytes])
         self._read()
 
     def _read(self) -> None:
         """Takes whole commands while not too much is owed; the rest waits in the reader."""
         self._reading = True
         try:
-            self._take()
+            while not self._ending and len(self._owed) < MOST_OWED:
+                message = self._reader.next()
+                if message is None:
+                    break
+                self._command(message)
+        except ProtocolError as error:
+            self.broken(f"Protocol error: {error}")
         finally:
             self._reading = False
         self._throttle()
         self.close_if_done()
 
-    def _take(self) -> None:
-        while not self._ending and len(self._owed) < MOST_OWED:
-            try:
-                message = self._reader.gets()
-            except (hiredis.HiredisError, ValueError, MemoryError):
-                return self._broken("Protocol error")
-            if message is MISSING:
-                if self._buffered > LONGEST_COMMAND:
-                    self._broken("Protocol error: command too long")
-                break
-            # what is left belongs to the commands that follow, or a busy connection would come to its bound
-            self._buffered = self._reader.len() if self._reader.has_data() else 0
-            if not isinstance(message, list) or not message or not all(type(p) is bytes for p in message):
-                return self._broken("Protocol error: expected an array of bulk strings")
-            self._command(message)
-
-    def _command(self, parts: list[Any]) -> None:
-        self.used, self.used_at = True, self._clients.gateway.now()
+    def _command(self, parts: list[bytes]) -> None:
+        self.used, self.since = True, self._clients.loop.time()
+        self._clients.asked(self)
         verb = parts[0].upper()
         place = Owed()
         self._owed.append(place)
         if verb == b"API.READ":
             try:
                 command = self._clients.reader.command(parts)
+                place.request = self._clients.gateway.arrived(command, partial(self._answered, place))
             except CommandError as error:
-                self._answered(place, b"-ERR %b\r\n" % str(error).encode())
+                self._mistaken(place, str(error))
             else:
-                place.request = self._clients.gateway.arrived(command, partial(self._answered, place))
+                self._errors = 0
         elif verb == b"PING":
             ready = self._clients.gateway.has_list
             self._answered(place, b"+PONG\r\n" if ready else b"-LOADING no list of servers yet\r\n")
         else:
-            self._answered(place, b"-ERR unknown command\r\n")
+            self._mistaken(place, "unknown command")
+
+    def _mistaken(self, place: Owed, text: str) -> None:
+        self._answered(place, b"-ERR %b\r\n" % text.encode())
+        self._errors += 1
+        if self._errors >= MOST_ERRORS:
+            self.broken("too many commands that cannot be taken")
 
-    def _broken(self, text: str) -> None:
-        """Nothing that follows can be told apart any more: what is owed is answered, then it closes."""
+    def broken(self, text: str) -> None:
+        """Nothing that follows is of use any more: what is owed is answered, then it closes."""
+        if self._ending:
+            return
         self._ending = True
         self._owed.append(Owed(b"-ERR %b\r\n" % text.encode()))
         self._flush()
@@ -219,27 +228,38 @@
     def close_if_done(self) -> None:
         if self._owed or self._transport is None or not (self._ending or self._clients.draining):
             return
-        if not self._ending and (self._reading or self._reader.has_data()):
+        if not self._ending and (self._reading or self._reader.pending()):
             return  # commands that have come in, wholly or in part, are owed an answer before a drain closes
         if not self._transport.is_closing() and not self._half_closed:
             # Only our side is closed, and what still comes in is dropped: a close with input unread, or
             # crossing a further request, would reset the connection and take the last answer with it.
             self._ending = self._half_closed = True
+            self._clients.leaves(self)
             self._transport.resume_reading()
             self._transport.write_eof()
-            self._clients.loop.call_later(LINGER, self._transport.abort)
+            self._linger = self._clients.loop.call_later(LINGER, self.abort)
 
-    def retire(self) -> None:
-        self._ending = True
-        self.close_if_done()
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
 
     def idle(self) -> bool:
         return not self._owed and not self._ending
 
+    def look(self, before: float) -> None:
+        """Ends it where it has waited too long: for a whole command that was begun or never came, or for
+        its client to read. A client that sends nothing or half a command would keep its descriptor."""
+        if self.since >= before or self._half_closed:
+            return
+        if self._clogged:
+            self.abort()
+        elif not self._owed and not self._ending and (not self.used or self._reader.pending()):
+            self.broken("no whole command in time")
+
     # A client that does not read its answers, or asks for too many at once, is not read from
 
     def pause_writing(self) -> None:
-        self._clogged = True
+        self._clogged, self.since = True, self._clients.loop.time()
         self._throttle()
 
     def resume_writing(self) -> None:
@@ -262,10 +282,15 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, gateway: Gateway, sockets: int) -> None:
         self.loop, self.gateway = loop, gateway
-        self.reader = Reader(gateway.settings)
+        self.reader = Reader(gateway.settings, gateway.largest)
+        self.received = memoryview(bytearray(RECEIVE))
         self.draining = False
         self._most = int(sockets * CLIENT_SHARE)
-        self._connections: set[ClientConnection] = set()
+        # in the order of their last whole command, the longest ago first; those that only wait for their
+        # client to close, and those that have not given one yet, go before the others
+        self._connections: dict[ClientConnection, None] = {}
+        self._unused: dict[ClientConnection, None] = {}
+        self._leaving: dict[ClientConnection, None] = {}
         self._server: asyncio.Server | None = None
         self._empty = asyncio.Event()
 
@@ -274,21 +299,58 @@
         self._server = await self.loop.create_server(
             lambda: ClientConnection(self), host, port, backlog=1024
         )
+        self._look()
         bound: int = self._server.sockets[0].getsockname()[1]
         return bound
 
+    def _look(self) -> None:
+        self.loop.call_later(LOOK_EVERY, self._look)
+        before = self.loop.time() - SILENT_FOR
+        for connection in [*self._connections, *self._unused]:
+            connection.look(before)
+
     def opened(self, connection: ClientConnection) -> None:
-        self._connections.add(connection)
+        self._unused[connection] = None
         self._empty.clear()
-        if len(self._connections) > self._most:
-            # descriptors are few: the one that nothing is owed on and that was used longest ago goes
-            idle = [c for c in self._connections if c.idle() and c is not connection]
-            victim = min(idle, key=lambda c: c.used_at, default=connection)
-            victim.retire()
+        if len(self) > self._most:
+            victim = self._victim(connection) or connection
+            self.closed(victim)  # it no longer counts, so that the next one is spared
+            victim.abort()
+
+    def __len__(self) -> int:
+        return len(self._connections) + len(self._unused) + len(self._leaving)
+
+    def _victim(self, newest: ClientConnection) -> ClientConnection | None:
+        """Whose descriptor is taken where they are few. The first of each kind is nearly always the one,
+        so that a flood of connections costs no look at all of them for each."""
+        before = self.loop.time() - SILENT_FOR  # until then a client may well be about to ask again
+        for connection in self._leaving:
+            return connection
+        for connection in self._unused:
+            if connection is not newest and connection.idle():
+                return connection
+        for connection in self._connections:
+            if connection.since >= before:
+                break
+            if connection.idle():
+                return connection
+        return None
+
+    def asked(self, connection: ClientConnection) -> None:
+        """It has given a whole command: it goes last of all."""
+        self._unused.pop(connection, None)
+        self._connections.pop(connection, None)
+        self._connections[connection] = None
+
+    def leaves(self, connection: ClientConnection) -> None:
+        self._unused.pop(connection, None)
+        self._connections.pop(connection, None)
+        self._leaving[connection] = None
 
     def closed(self, connection: ClientConnection) -> None:
-        self._connections.discard(connection)
-        if not self._connections:
+        for connections in (self._leaving, self._unused, self._connections):
+            connections.pop(connection, None)
+        if not len(self):
             self._empty.set()
 
     async def drain(self, accept_for: float, at_most: float) -> None:
@@ -299,15 +361,14 @@
         await asyncio.sleep(POLL)
         self.draining = True
         for connection in list(self._connections):
-            if connection.used:
-                connection.close_if_done()
+            connection.close_if_done()
         await asyncio.sleep(accept_for)
         if self._server is not None:
             self._server.close()
         await asyncio.sleep(POLL)
-        for connection in list(self._connections):
+        for connection in [*self._connections, *self._unused]:
             connection.close_if_done()  # those that were opened meanwhile and never used
-        if not self._connections:
+        if not len(self):
             return
         self._empty.clear()
         try:
--- a/elderlock/net/gateway.py
+++ b/elderlock/net/gateway.py
@@ -25,6 +25,7 @@
 SWEEP_EVERY = 1.0  # s
 FAILED = b"-ERR failed\r\n"
 BUSY = b"-BUSY\r\n"
+REPEATED = b"-ERR a request of this id is open\r\n"
 
 log = logging.getLogger(__name__)
 
@@ -45,6 +46,7 @@
 class Command:
     """A client's request as read and checked, with what is needed to pass it on."""
 
+    name: bytes  # the client's id of it
     class_index: int
     plan_index: int
     customer: str
@@ -71,11 +73,13 @@
 class Gateway:
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, clock: Clock) -> None:
         self._loop, self._config, self.now = loop, config, clock.now
-        self.settings = config.settings
-        self.servers = Servers(loop, config.socket_settings, config.sockets, self.now, self._ended)
+        self.settings, self.largest = config.settings, config.socket_settings.largest
+        aim = min((c.aim for c in config.settings.classes), default=1000.0)
+        self.servers = Servers(loop, config.socket_settings, aim, config.sockets, self.now, self._ended)
         self.tell_peer: Callable[[int, bytes], None] | None = None
         self._limiter = Limiter(config.settings, config.seed, self.now())
         self._requests: dict[str, Request] = {}
+        self._open: set[bytes] = set()  # clients' ids of what is not answered
         self._events: deque[api.Event] = deque()
         self._handling = False
         self._number = 0
@@ -105,8 +109,8 @@
 
     def _list(self, listed: TargetList, kind: ListKind) -> None:
         # the pools first: the module may send to a server in the very actions that answer the list
-        self.servers.update(listed)
-        entries = tuple(target.entry for target in listed.targets)
+        replaced = self.servers.update(listed)
+        entries = (*(target.entry for target in listed.targets), *replaced)
         self.has_list = self.has_list or bool(entries)
         self._happened(api.ServerList(listed.version, kind, entries))
 
@@ -115,11 +119,16 @@
 
     def arrived(self, command: Command, reply: Callable[[bytes], None]) -> str | None:
         """Takes a request; `reply` is called exactly once, perhaps before this returns. The name stands
-        for it in `client_gone`. Clients' own ids may repeat, so the module is given names of ours."""
+        for it in `client_gone`. The module is given names of ours, as a client's id may come again while
+        an attempt for the answered one is out. That of an open request is not sent on a second time."""
+        if command.name in self._open:
+            reply(REPEATED)
+            return None
         if len(self._requests) >= self._config.socket_settings.max_open:
             reply(BUSY)
             return None
         self._number += 1
+        self._open.add(command.name)
         name = f"r{self._number}"
         request = self._requests[name] = Request(name, command, reply)
         now = self.now()
@@ -167,6 +176,7 @@
     def _end(self, request: Request, answer: bytes | None) -> None:
         """The one place that marks a request answered; None where the client has gone."""
         request.answered = True
+        self._open.discard(request.command.name)
         if request.watchdog is not None:
             request.watchdog.cancel()
             request.watchdog = None
--- a/elderlock/net/servers.py
+++ b/elderlock/net/servers.py
@@ -3,21 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 from collections.abc import Callable
-from typing import Any, cast
+from dataclasses import replace
+from typing import cast
 
-import hiredis
-
-from elderlock.interface import Outcome, ServerState
+from elderlock.interface import Outcome, ServerEntry, ServerState
 from elderlock.net.discovery import Target, TargetList
+from elderlock.net.resp import AnswerReader, ProtocolError
 from elderlock.settings import SocketSettings
 
-SERVER_SHARE = 0.4  # of the descriptors: the rest is for clients, discovery and peers
+SERVER_SHARE = 0.3  # of the descriptors: the rest is for clients, discovery and peers
 MOST_PER_SERVER = 0.5  # of those: one server that hangs must not take the connections of all others
 IDLE_PART = 0.8  # of the keepalive: a request written when that has run out ends as a reset
-LONGEST_ANSWER = 1 << 18  # bytes buffered for one answer; values hold at most 64 KiB
-MISSING = object()
+SETTLE = 20.0  # ms before a connection is used again: what comes right behind an answer is seen first
+DIAL_AIMS = 0.15  # aims that a dial may take before its request goes elsewhere
+STALL_AIMS = 0.1  # aims between the first byte of an answer and its last
+RECEIVE = 1 << 14  # bytes read at once, whatever a server sends
+OUR_OWN = (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENOMEM)
 
 Ended = Callable[["Attempt", Outcome, bytes | None], None]
 
@@ -54,8 +58,7 @@
         """Stops waiting. Closing the connection tells the server; a dial goes on, as it is paid for."""
         connection = self.connection
         if connection is not None:
-            self.connection = connection.attempt = None
-            connection.abort()
+            connection.drop()
         self.end(outcome)
 
     def timed_out(self) -> None:
@@ -63,19 +66,19 @@
         self.give_up(Outcome.TIMEOUT if self.sent else Outcome.CONNECT_FAILED)
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """A connection that carries one attempt at a time: answers come in order, so a second one would
     wait behind a slow first."""
 
-    __slots__ = ("_buffered", "_reader", "_transport", "adopted", "attempt", "idle_at", "pool")
+    __slots__ = ("_reader", "_servers", "_stall", "_transport", "adopted", "attempt", "idle_at", "pool")
 
-    def __init__(self, pool: Pool) -> None:
-        self.pool = pool
+    def __init__(self, servers: Servers, pool: Pool) -> None:
+        self._servers, self.pool = servers, pool
         self.attempt: Attempt | None = None
         self.adopted = False  # its dial has ended well; until then the dial counts it
         self.idle_at = 0.0
-        self._reader = hiredis.Reader(notEnoughData=MISSING)
-        self._buffered = 0
+        self._reader = AnswerReader()
+        self._stall: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -89,45 +92,62 @@
         self.attempt, attempt.connection = attempt, self
         # from here on it may run: a break before the last byte left is not told apart from one after
         attempt.sent = True
-        self._buffered = 0
         self._transport.write(attempt.encode(attempt.expires - now))
 
-    def data_received(self, data: bytes) -> None:
-        self._buffered += len(data)
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._servers.received  # one for all: what is read is taken out before the next read
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if self.attempt is None:
+            # nothing was asked: a second copy or noise, which must not answer the next request
+            return self.abort()
+        self._reader.feed(self._servers.received[:nbytes])
         try:
-            self._reader.feed(data)
-            answer = self._reader.gets()
-            extra = answer is not MISSING and self._reader.gets() is not MISSING
-        except (hiredis.HiredisError, ValueError, MemoryError):
+            answer = self._reader.next()
+        except ProtocolError:
             return self._spoiled()
-        if answer is MISSING:
-            if self._buffered > LONGEST_ANSWER:
-                self._spoiled()
+        if answer is None:
+            if self._stall is None:  # a length that was too long is waited for in vain
+                self._stall = self._servers.later(self._servers.stall, self._spoiled)
             return
-        attempt, self.attempt = self.attempt, None
-        outcome, value = outcome_of(answer)
-        if attempt is None or extra:  # an answer that nothing asked for: order is lost on this connection
+        attempt = self._let_go()
+        if self._reader.pending():  # more than belongs to it: the answer is good, the connection is not
             self.abort()
+        else:
+            self.pool.release(self)
+        if attempt is not None:
+            value, text = answer
+            if value is not None:
+                attempt.end(Outcome.OK, value)
+            else:
+                attempt.end(Outcome.FULL if text.split(b" ", 1)[0] == b"BUSY" else Outcome.ERROR)
+
+    def drop(self) -> None:
+        """Stops waiting for the answer, which the server hears of by the end of its connection."""
+        self._let_go()
+        self.abort()
+
+    def _let_go(self) -> Attempt | None:
+        attempt, self.attempt = self.attempt, None
         if attempt is not None:
             attempt.connection = None
-            if not extra:
-                self.pool.release(self)
-            attempt.end(outcome, value)
+        if self._stall is not None:
+            self._stall.cancel()
+            self._stall = None
+        return attempt
 
     def _spoiled(self) -> None:
         """What came is no answer: the request may have run, and nothing more can be read here."""
-        attempt, self.attempt = self.attempt, None
-        self.abort()
+        attempt = self.attempt
+        self.drop()
         if attempt is not None:
-            attempt.connection = None
             attempt.end(Outcome.ERROR)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        attempt, self.attempt = self.attempt, None
+        attempt = self._let_go()
         if self.adopted:
             self.pool.lost(self)
         if attempt is not None:
-            attempt.connection = None
             attempt.end(Outcome.RESET)
 
     def abort(self) -> None:
@@ -135,23 +155,14 @@
             self._transport.abort()
 
 
-def outcome_of(answer: Any) -> tuple[Outcome, bytes | None]:
-    """The outcome that a whole answer stands for, and the value of one that was served."""
-    if isinstance(answer, list) and answer and isinstance(answer[0], bytes):
-        return Outcome.OK, answer[0]
-    if isinstance(answer, hiredis.ReplyError) and str(answer).split(" ", 1)[0] == "BUSY":
-        return Outcome.FULL, None
-    return Outcome.ERROR, None
-
-
 class Pool:
     """The connections to one process at one address; a process that restarted gets a new pool."""
 
-    __slots__ = ("_servers", "address", "closed", "count", "idle", "leaving", "started_at")
+    __slots__ = ("_servers", "address", "closed", "count", "entry", "idle", "leaving")
 
     def __init__(self, servers: Servers, target: Target) -> None:
         self._servers = servers
-        self.address, self.started_at = target.address, target.entry.started_at
+        self.address, self.entry = target.address, target.entry
         self.idle: list[ServerConnection] = []  # the most recently used last
         self.count = 0  # open ones and dials
         self.leaving = self.closed = False
@@ -170,10 +181,15 @@
             self.idle.remove(connection)
 
     def take(self) -> ServerConnection | None:
-        fresh = self._servers.now() - self._servers.idle_for
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.usable() and connection.idle_at > fresh:
+        """The one used last that has stood long enough for whatever came behind its answer to show: a
+        copy that arrives once it carries the next request would be that one's answer."""
+        now = self._servers.now()
+        for at in range(len(self.idle) - 1, -1, -1):
+            connection = self.idle[at]
+            if now - connection.idle_at < self._servers.settle:
+                continue
+            del self.idle[at]
+            if connection.usable() and now - connection.idle_at < self._servers.idle_for:
                 return connection
             connection.abort()
         return None
@@ -192,32 +208,48 @@
         self,
         loop: asyncio.AbstractEventLoop,
         settings: SocketSettings,
+        aim: float,
         sockets: int,
         now: Callable[[], float],
         ended: Ended,
     ) -> None:
         self._loop, self._ended, self.now = loop, ended, now
         self._dial_timeout = settings.dial_timeout / 1000.0
+        self._dial_within = min(settings.dial_timeout, DIAL_AIMS * aim)
+        self.stall = STALL_AIMS * aim / 1000.0
         self.idle_for = settings.keepalive * IDLE_PART
+        self.settle = SETTLE
         self._most = int(sockets * SERVER_SHARE)
         self._most_each = max(1, int(self._most * MOST_PER_SERVER))
         self.count = 0
+        self.received = memoryview(bytearray(RECEIVE))
+        self.later = loop.call_later
         self._pools: dict[str, Pool] = {}
         self._dials: set[asyncio.Task[None]] = set()  # a task that nothing holds may be collected
 
-    def update(self, listed: TargetList) -> None:
+    def update(self, listed: TargetList) -> list[ServerEntry]:
+        """Takes in a list. Returns those that it names but whose address another has by now, as gone:
+        what went there under the old name would come to a process that nobody meant, a cold one."""
         if listed.complete:
             named = {target.entry.server for target in listed.targets}
             for server in [name for name in self._pools if name not in named]:
                 self._close(self._pools.pop(server))
+        replaced = []
         for target in listed.targets:
             server, pool = target.entry.server, self._pools.get(target.entry.server)
             if target.entry.state is ServerState.GONE:
                 if pool is not None:
                     self._close(self._pools.pop(server))
                 continue
+            for other in [p for p in self._pools.values() if p.address == target.address and p is not pool]:
+                older = min(other.entry, target.entry, key=lambda entry: entry.started_at)
+                replaced.append(replace(older, state=ServerState.GONE))
+                if (gone := self._pools.pop(older.server, None)) is not None:
+                    self._close(gone)
+            if replaced and replaced[-1].server == server:
+                continue
             moved = pool is not None and (
-                pool.address != target.address or pool.started_at != target.entry.started_at
+                pool.address != target.address or pool.entry.started_at != target.entry.started_at
             )
             if pool is not None and moved:  # connections of the process before are dead or soon will be
                 self._close(pool)
@@ -226,6 +258,7 @@
             pool.leaving = target.entry.state is not ServerState.RUNNING
             if pool.leaving:
                 pool.drop_idle()
+        return replaced
 
     def _close(self, pool: Pool) -> None:
         pool.closed = True
@@ -242,13 +275,15 @@
         if pool is None or pool.leaving:
             attempt.end(Outcome.MOOT)
             return attempt
-        attempt.timer = self._loop.call_later(max(timeout, 0.0) / 1000.0, attempt.timed_out)
         connection = pool.take()
         if connection is not None:
-            connection.carry(attempt, attempt.started)
+            self._carry(attempt, connection)
         elif pool.count >= self._most_each or not self._make_room():
-            attempt.end(Outcome.CONNECT_FAILED)
+            attempt.end(Outcome.MOOT)  # it is us who have no room: nothing is learnt of the server
         else:
+            # a dial that hangs must leave time for another server; it goes on, for whoever comes next
+            within = min(timeout, self._dial_within)
+            attempt.timer = self.later(max(within, 0.0) / 1000.0, attempt.timed_out)
             pool.count += 1
             self.count += 1
             task = self._loop.create_task(self._dial(pool, attempt))
@@ -256,6 +291,13 @@
             task.add_done_callback(self._dials.discard)
         return attempt
 
+    def _carry(self, attempt: Attempt, connection: ServerConnection) -> None:
+        now = self.now()
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        attempt.timer = self.later(max(attempt.expires - now, 0.0) / 1000.0, attempt.timed_out)
+        connection.carry(attempt, now)
+
     def _make_room(self) -> bool:
         """Whether one more may be opened; at the bound, one that has stood idle longest gives way."""
         if self.count < self._most:
@@ -270,25 +312,26 @@
 
     async def _dial(self, pool: Pool, attempt: Attempt) -> None:
         host, port = pool.address
-        connection = ServerConnection(pool)
+        connection, failed = ServerConnection(self, pool), Outcome.CONNECT_FAILED
         try:
             async with asyncio.timeout(self._dial_timeout):
                 await self._loop.create_connection(lambda: connection, host, port)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
             connection.abort()  # it may have come up in the same moment
-        now = self.now()
+            if isinstance(error, OSError) and error.errno in OUR_OWN:
+                failed = Outcome.MOOT
         connection.adopted = connection.usable()
         if not connection.adopted:  # counted down here alone, whether or not it was up for a moment
             pool.count -= 1
             self.count -= 1
-            attempt.end(Outcome.CONNECT_FAILED)
+            attempt.end(failed)
         elif attempt.over:  # cancelled or timed out meanwhile: nothing may be written for it any more
             pool.release(connection)
         elif pool.leaving or pool.closed:  # heard of the drain while dialling
             pool.release(connection)
             attempt.end(Outcome.MOOT)
         else:
-            connection.carry(attempt, now)
+            self._carry(attempt, connection)
 
     def sweep(self) -> None:
         """Closes what has stood idle, before the servers do so under a request just written."""
--- a/elderlock/settings.py
+++ b/elderlock/settings.py
@@ -19,6 +19,7 @@
     dial_timeout: float
     keepalive: float
     max_open: int
+    largest: float  # units of one request
 
 
 def socket_settings_of(facts: Any) -> SocketSettings:
@@ -29,6 +30,7 @@
         dial_timeout=float(limits["dial-timeout"]),
         keepalive=float(limits["keepalive"]),
         max_open=int(limits.get("max-open", 20000)),
+        largest=float(facts["family-info"].get("largest", 1e6)),
     )
 
 
--- /dev/null
+++ b/tests/test_resp.py
@@ -0,0 +1,55 @@
+"""The strict reader: whatever way the bytes are cut, the same is read or refused."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from elderlock.net.resp import AnswerReader, CommandReader, ProtocolError
+
+GOOD = b"*2\r\n$4\r\nPING\r\n$0\r\n\r\n*1\r\n$3\r\na\r\n\r\n"
+ANSWER = b"*3\r\n$7\r\nva\r\n$1\r\r\n:12\r\n$7\r\nqueue=2\r\n"
+
+
+def commands(data: bytes, cuts: list[int]) -> list[list[bytes]]:
+    reader, got = CommandReader(), []
+    for start, end in zip([0, *cuts], [*cuts, len(data)], strict=True):
+        reader.feed(data[start:end])
+        while (command := reader.next()) is not None:
+            got.append(command)
+    return got
+
+
+@given(st.lists(st.integers(0, len(GOOD))).map(sorted))
+def test_commands_cut_anywhere(cuts: list[int]) -> None:
+    assert commands(GOOD, cuts) == [[b"PING", b""], [b"a\r\n"]]
+
+
+@given(st.lists(st.integers(0, len(ANSWER))).map(sorted))
+def test_an_answer_cut_anywhere(cuts: list[int]) -> None:
+    reader, got = AnswerReader(), []
+    for start, end in zip([0, *cuts], [*cuts, len(ANSWER)], strict=True):
+        reader.feed(ANSWER[start:end])
+        if (answer := reader.next()) is not None:
+            got.append((end, answer))
+    assert [answer for _, answer in got] == [(b"va\r\n$1\r", b"queue=2")]
+    assert got[0][0] == len(ANSWER)
+    assert not reader.pending()
+
+
+@given(st.binary(max_size=40))
+def test_noise_is_refused_or_waited_for_but_never_raises_otherwise(data: bytes) -> None:
+    for reader in (CommandReader(), AnswerReader()):
+        try:
+            reader.feed(data)
+            while reader.next() is not None:
+                pass
+        except ProtocolError:
+            pass
+
+
+@pytest.mark.parametrize(
+    "data", [b"*1\r\n$4\r\nPINGx", b"*1\r\n$4\r\nPING\rx", b"*1\r\n$70000\r\n", b"*17\r\n", b"P"]
+)
+def test_a_wrong_length_is_told_before_more_is_taken_in(data: bytes) -> None:
+    with pytest.raises(ProtocolError):
+        commands(data, [])
