Wait with the throttle until load is seen; forget what is gone

At fault: Limiter._control, which let a start-up's slow answers enter the throttle before answer_rate had been measured once, so at ENTRY_PER_SERVER; and that rate is one for an aim of 1.2 s, a quarter of what the same fleet bears at 0.3 s.

Now the first two control periods pass before an entry, and the two least rates are attempts an aim (the same as before at 1.2 s). Accounts and ledgers are looked at up to the first in use instead of 16 a second, ledgers go once full, servers that are gone and the failures of their cells are dropped (found by reading: the new test ends with 3,000 ledgers and 200 servers before).

--- a/elderlock/limiter.py
+++ b/elderlock/limiter.py
@@ -10,7 +10,7 @@
 import zlib
 from collections import deque
 from collections.abc import Callable
-from itertools import accumulate, islice
+from itertools import accumulate
 from math import exp, sqrt
 from statistics import median
 from struct import Struct
@@ -27,8 +27,8 @@
 LEAST_BACK = 6.0  # attempts an aim taken to come back at least: with fewer, one or two out say nothing
 CONTROL_PERIOD = 1000.0  # ms between updates of the leak rate, as in the design
 MOST_CUT, MOST_RISE = 0.75, 1.15  # bounds of one update, so that one noisy reading cannot swing the rate
-ENTRY_PER_SERVER = 3.0  # attempts a second per ready server over all limiters, where fewer were answered
-LEAST_PER_SERVER = 1.0  # the same below which no cut goes: answers must come to see the load fall
+ENTRY_PER_SERVER = 3.6  # attempts an aim per ready server over all limiters, where fewer were answered
+LEAST_PER_SERVER = 1.2  # the same below which no cut goes: answers must come to see the load fall
 LEAST_OF_ANSWERED = 0.7  # of what was answered in time lately: that much is borne, and cuts do not overshoot
 TERMINATION_PENDING_PERIOD = 3000.0  # ms of load below the goal before the return begins
 LEAK_RATE_GROWTH_FACTOR = 25.0  # percent a period while returning
@@ -40,7 +40,6 @@
 # Quotas.
 RATE_SPAN, RATE_COUNT = 4000.0, 4.0  # ms over which send rates are averaged, or so many sends if longer
 FORGET_AFTER = 15000.0  # ms without a request until a customer is aged out, if its stores are full by then
-AGED_AT_ONCE = 16  # customers looked at a second, the longest unused first
 SLACK_PART = 0.8  # of the ceiling's slack that is used; the rest is for rounding
 ASK_AIMS = 0.1  # aims that an asked keeper has to answer, until the bucket alone decides
 MOST_MISSED, SILENT_FOR = 2, 2000.0  # questions in a row left open; ms that a keeper is passed over then
@@ -178,6 +177,8 @@
         self.warm_rate = self.admit_rate = self.answer_rate = self.peak_rate = self.latency = self.back = 0.0
         self.top_price = max([c.worth * p.price for c in settings.classes for p in settings.plans] + [1e-9])
         self.aim = min([c.aim for c in settings.classes], default=SECOND)
+        part = SECOND / self.aim / settings.limiters  # from attempts an aim at a server to ours a second
+        self.entry_rate, self.least_rate = ENTRY_PER_SERVER * part, LEAST_PER_SERVER * part
         self.handlers: dict[type, Callable[..., None]] = {
             api.RequestArrived: self._arrived, api.AttemptEnded: self._ended, api.TimerDue: self._due,
             api.ServerList: self._listed, api.PeerMessage: self._told, api.ClientGone: self._gone,
@@ -215,12 +216,13 @@
         self.asked_at = self.now
         if event.kind is not ListKind.CHANGES:
             for server in self.servers.values():
-                server.leaving = True  # what a whole list does not name is gone
+                server.leaving = server.gone = True  # what a whole list does not name is gone
         for entry in event.entries:
             server = self.servers.get(entry.server) or Server(entry, self.now, self.rng.random())
             if server.entry.started_at != entry.started_at:  # a new process: nothing known of it holds
                 server = Server(entry, self.now, self.rng.random(), out=server.out)
             server.entry, server.leaving = entry, entry.state is not ServerState.RUNNING
+            server.gone = entry.state is ServerState.GONE
             self.servers[entry.server] = server
         self._draw_from()
 
@@ -514,7 +516,7 @@
         share, rules, count = self._coldness(server), self.settings.rules, self.settings.limiters
         if share >= 1.0:
             return True
-        bears = max(self.warm_rate * server.entry.weight * count, LEAST_PER_SERVER)
+        bears = max(self.warm_rate * server.entry.weight * count, self.least_rate * count)
         budget = bears * share * rules.fall_multiple * rules.fall_window / SECOND
         spaced = budget - COLD_CHANCE * sqrt(count / 12.0)  # few limiters send evenly, many at random
         random_part = (sqrt(COLD_CHANCE**2 / 4.0 + budget) - COLD_CHANCE / 2.0) ** 2
@@ -540,7 +542,7 @@
         if count < len(drawn):
             drawn = self.rng.choices(self.ready, cum_weights=self.ready_weights, k=count)
         pool = self._allowed(request, drawn) or self._allowed(request, self.ready)
-        tried = {a.server for a in request.attempts}
+        tried = {a.server.entry.server for a in request.attempts}
         return min(pool, key=lambda s: self._cost(s, request, tried)) if pool else None
 
     def _allowed(self, request: OpenRequest, servers: list[Server]) -> list[Server]:
@@ -553,7 +555,7 @@
             return True
         if rclass.effect is Effect.UNSAFE or self.now - run[0].sent_at >= rclass.window - self.settings.tick:
             return False
-        first = self.servers[run[0].server].entry
+        first = run[0].server.entry
         if rclass.group is Group.ZONE:
             return first.zone == server.entry.zone
         return rclass.group is Group.ALL or first.cell == server.entry.cell
@@ -577,14 +579,14 @@
         """Little's law: what is out over what comes back in an aim. It sees a queue before its answers do."""
         seen = 1.0 - exp((self.started - self.now) / FRESH_FOR)
         back = self.back * exp((self.back_at - self.now) / FRESH_FOR) / max(seen, 0.05)
-        least = ENTRY_PER_SERVER * len(self.ready) / self.settings.limiters
+        least = self.entry_rate * len(self.ready)
         return self.out / max(max(back, least) * self.aim / SECOND, LEAST_BACK)
 
     # Attempts
 
     def _send(self, request: OpenRequest, server: Server) -> None:
         server.out[request.event.request, len(request.attempts)] = self.now
-        request.attempts.append(Attempt(server.entry.server, self.now))
+        request.attempts.append(Attempt(server, self.now))
         server.cold_room -= self._coldness(server) < 1.0
         self.out += 1
         self.actions.append(api.Send(request.event.request, server.entry.server, self._patience(request)))
@@ -598,7 +600,7 @@
         attempt.over = True
         self.out -= 1
         attempt.may_have_run = event.outcome not in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
-        self._learn(self.servers[attempt.server], request, event)
+        self._learn(attempt.server, request, event)
         self._metered(account, event.meter)
         if event.true_units > 0 and request.inside and self.settings.sources.settled_after:
             self._settle(account, event.true_units - request.event.units)
@@ -712,23 +714,43 @@
         self._draw_from()
         weight = sum(s.entry.weight for s in self.ready if self._coldness(s) >= 1.0)
         self.warm_rate = self.answer_rate / weight if weight > 0 else self.warm_rate
-        self.failing = {group: 0.8 * share for group, share in self.failing.items()}
-        for account in list(islice(self.accounts.values(), AGED_AT_ONCE)):
-            p = account.plan  # aged out once every store is full again, so that nothing is won by it
+        self.failing = {group: 0.8 * share for group, share in self.failing.items() if share > 1e-3}
+        self._age_out()
+
+    def _age_out(self) -> None:
+        """Forgets what is gone or full again: new customers, servers and cells come all day. The longest
+        unused stand first, so a look ends at the first that is in use; those before it that are not full
+        yet are few, as a store fills in seconds."""
+        old = []
+        for account in self.accounts.values():
+            if self.now - account.at <= FORGET_AFTER:
+                break
+            p = account.plan  # once every store is full again, so that nothing is won by it
             owed = max(p.burst, p.burst - account.bucket * account.spread) / (p.rate or 1.0)
             refill = max(owed, p.ceiling_burst / (p.ceiling_rate or 1.0)) * SECOND
-            if not account.open and self.now - account.at > max(FORGET_AFTER, refill):
-                del self.accounts[account.key]
-        for key, ledger in list(islice(self.ledgers.items(), AGED_AT_ONCE)):
-            if self.now - ledger.at > 4 * FORGET_AFTER:
-                del self.ledgers[key]
+            if not account.open and self.now - account.at > refill:
+                old.append(account.key)
+        for key in old:
+            del self.accounts[key]
+        full = []
+        for key, ledger in self.ledgers.items():
+            elapsed = self.now - ledger.at
+            if elapsed <= FORGET_AFTER:
+                break
+            if ledger.level + ledger.plan.rate * elapsed / SECOND >= ledger.plan.burst:
+                full.append(key)
+        for key in full:
+            del self.ledgers[key]
+        for name in [name for name, server in self.servers.items() if server.gone and not server.out]:
+            del self.servers[name]
 
     def _control(self) -> None:
-        before, level = self.throttle.phase, self.load_level()
-        part = len(self.ready) / self.settings.limiters
+        if self.now - self.started < 2 * CONTROL_PERIOD:
+            return  # what is borne is not seen yet: an entry now would be at the least rate
+        before, level, ready = self.throttle.phase, self.load_level(), len(self.ready)
         self.throttle.max_leak_rate = MAX_LEAK_OVER_DEMAND * self.peak_rate
-        self.throttle.least_rate = max(LEAST_PER_SERVER * part, LEAST_OF_ANSWERED * self.answer_rate)
-        self.throttle.update(level, self.admit_rate, max(self.answer_rate, ENTRY_PER_SERVER * part), self.now)
+        self.throttle.least_rate = max(self.least_rate * ready, LEAST_OF_ANSWERED * self.answer_rate)
+        self.throttle.update(level, self.admit_rate, max(self.answer_rate, self.entry_rate * ready), self.now)
         after = self.throttle.phase
         if before is not after and Phase.NOT_OVERLOADED in (before, after):
             verb = "ends" if after is Phase.NOT_OVERLOADED else "starts"
--- a/elderlock/state.py
+++ b/elderlock/state.py
@@ -29,6 +29,7 @@
     known_at: float = NEVER  # when that was seen
     answered_at: float = 0.0
     leaving: bool = False
+    gone: bool = False
     out: dict[tuple[str, int], float] = field(default_factory=dict)  # attempts without an outcome, when sent
     full_plans: int = 0  # bits of the plans told 'full'
     full_at: float = NEVER
@@ -44,7 +45,7 @@
 
 @dataclass(slots=True)
 class Attempt:
-    server: str
+    server: Server
     sent_at: float
     over: bool = False
     may_have_run: bool = True
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -504,9 +504,10 @@
 
 def test_throttling_starts_ends_and_is_logged() -> None:
     gate = gateway()
-    for _ in range(80):
+    for _ in range(120):
         gate.end(gate.ask(customer=f"c{gate.count}"), took=900.0)
         gate.run(gate.now + 25.0)
+    assert all(at >= 2000.0 for at, a in gate.other if isinstance(a, api.Log))  # what is borne is seen first
     assert any(isinstance(a, api.Log) for _, a in gate.other)
     for _ in range(1200):
         name = gate.ask(customer=f"c{gate.count}")
@@ -518,6 +519,24 @@
     assert logs[0].startswith("throttling starts") and logs[-1].startswith("throttling ends")
 
 
+def test_what_is_gone_or_full_again_is_forgotten_however_much_there_was() -> None:
+    """On a day without end each of these would fill the memory."""
+    gate = gateway(settings(peers=True))
+    for _ in range(3000):
+        gate.end(gate.ask(customer=f"c{gate.count}", spread=3))
+        gate.run(gate.now + 2.0)
+    for number in range(200):
+        gate.servers(entry(f"n{number}", zone=number))
+        gate.end(gate.ask(customer="always", spread=3), Outcome.CONNECT_FAILED)
+        gate.run(gate.now + 50.0)
+    gate.run(gate.now + 90000.0)
+    limiter = gate.limiter
+    assert len(limiter.accounts) == len(limiter.ledgers) == len(limiter.requests) == 0
+    assert list(limiter.servers) == ["n199"]
+    assert len(limiter.failing) == len(limiter.questions) == len(limiter.held) == 0
+    assert len(limiter.timers) == 1
+
+
 def test_subscribes_and_asks_again_before_old_news_counts() -> None:
     gate = gateway(settings(subscribe=True))
     gate.run(20000.0)
@@ -536,10 +555,11 @@
 
 def test_few_answers_count_as_calm_so_that_a_low_rate_does_not_latch() -> None:
     gate = gateway(settings(limiters=400))
+    gate.run(1500.0)
     for _ in range(12):
         gate.end(gate.ask(customer=f"c{gate.count}"), took=900.0)
     assert gate.limiter.load_level() > 0.4
-    gate.run(1500.0)
+    gate.run(3000.0)
     assert gate.limiter.throttle.leak_rate > 0.0
     gate.run(8000.0)
     for _ in range(30):
