Report use to keepers in batches where mail is short

At fault: Limiter._read and _told. A question and an answer a request are some 150 messages a second at 140 requests a second, of 50 that a limiter may send (half of an intake of 100). Beyond them the bucket decided and the keeper never heard of it, questions that came in were not answered, and keepers were held silent and passed over, each of which opened a store of its own.

Now, while less than half of the room for mail is left, customers with more than half of their burst believed in the store are let in by the last reading; what was let in without asking is reported every 250 ms, up to 36 customers a message, and the keeper answers with their levels in one. A quarter of the room is left to answers, three quarters of the intake are sent, and a keeper has 40 ms at least: there and back take up to 24 ms whatever the aim is.

The counter stays unused: what is left to gain from it is less than one call for each request would cost and risk.

--- a/elderlock/limiter.py
+++ b/elderlock/limiter.py
@@ -41,7 +41,11 @@
 RATE_SPAN, RATE_COUNT = 4000.0, 4.0  # ms over which send rates are averaged, or so many sends if longer
 FORGET_AFTER = 15000.0  # ms without a request until a customer is aged out, if its stores are full by then
 SLACK_PART = 0.8  # of the ceiling's slack that is used; the rest is for rounding
-ASK_AIMS = 0.1  # aims that an asked keeper has to answer, until the bucket alone decides
+ASK_AIMS, LEAST_ASK = 0.1, 40.0  # aims, but ms at least, that a keeper has to answer: there and back take 24
+MAIL_PART = 0.75  # of what one takes in that each sends, so that intakes hold on average at any count
+ANSWER_PART = 0.25  # of the room for mail that own questions leave to answers and reports
+REPORT_EVERY = 250.0  # ms between reports to keepers of what was let in without asking
+COMFORT = 0.5  # of the burst: with more believed in the store, mail is left to those near their quota
 MOST_MISSED, SILENT_FOR = 2, 2000.0  # questions in a row left open; ms that a keeper is passed over then
 # Servers and attempts.
 LATENCY_WEIGHT = 0.15  # of one answer in an average
@@ -60,8 +64,16 @@
 # Peer messages: format, latest latency, then customer, what, plan, units or level, belief or rate, question.
 FORMAT, ENTRY = 0x5C, Struct(">BBIBBBBH")
 ASK, GRANTED, DENIED = range(3)
+# Batches: format, latest latency, what; of each customer then plan, units and belief, or level and rate.
+BATCH, HEAD, USE, LEVEL, MOST_USES = 0x5D, Struct(">BBB"), Struct(">IBBB"), Struct(">IBB"), 36
+REPORT, READINGS = range(2)
 UNKNOWN = 255  # a belief or level not known
 
+
+def _byte(value: float) -> int:
+    return min(255, max(0, int(value)))
+
+
 class Throttle:
     """The control adaptor and the class-threshold leaky bucket of one limiter."""
 
@@ -154,6 +166,7 @@
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         self.settings, self.rng = settings, random.Random(seed)
         self.now = self.started = self.rated_at = self.asked_at = self.ticked_at = self.back_at = now
+        self.reported_at = now
         self.actions: list[api.Action] = []
         self.throttle = Throttle(self.rng, now)
         self.servers: dict[str, Server] = {}
@@ -170,6 +183,7 @@
         self.silent: dict[int, float] = {}  # keepers passed over, until when
         self.timers: dict[int, int | None] = {}  # by token: the question, or upkeep
         self.held: deque[str] = deque()
+        self.unreported: dict[int, float] = {}  # units let in by customer that its keeper has not been told
         self.levels: deque[tuple[float, float]] = deque(maxlen=MOST_ANSWERS)  # when answered, latency in aims
         self.latest = (NEVER, 0.0)  # of our own
         self.extra, self.tick, self.mail_room = EXTRA_MOST / 2, TICK, settings.sources.peer_intake / 4
@@ -383,16 +397,32 @@
     def _read(self, request: OpenRequest) -> None:
         """Gets the latest reading of the customer's use, at the request itself where it can be had."""
         account, event, keeper = request.account, request.event, self._keeper(request.account)
-        part = account.store / (account.plan.burst or 1.0)  # a store taken over opens as last heard of
-        belief = min(254, max(0, int(part * 254))) if account.reading_at > NEVER else UNKNOWN
+        belief = self._belief(account)
         if keeper == self.settings.number:
             ledger = self._ledger(account.key, account.plan, belief)
             granted = self._grants(ledger, event.units)
             self._reading(request, granted, ledger.level, ledger.rate)
-        elif keeper is not None and self.mail_room >= 1.0:
+        elif keeper is not None and self._may_ask(account):
             self._ask(request, keeper, belief, False)
         else:
-            self._decide(request, self._inside(account, event.units))
+            inside = (keeper is not None and self._calm(account)) or self._inside(account, event.units)
+            if inside and keeper is not None:
+                self.unreported[account.key] = self.unreported.get(account.key, 0.0) + event.units
+            self._decide(request, inside)
+
+    def _belief(self, account: Account) -> int:
+        """A store that another keeper takes over opens as last heard of."""
+        part = account.store / (account.plan.burst or 1.0)
+        return min(254, _byte(part * 254)) if account.reading_at > NEVER else UNKNOWN
+
+    def _may_ask(self, account: Account) -> bool:
+        """Mail is short where requests are many: then the first half of it is for customers near their
+        quota. The others are let in by the last reading, and their use is reported a little later."""
+        most = self.settings.sources.peer_intake / 4
+        return self.mail_room >= max(1.0, (0.5 if self._calm(account) else ANSWER_PART) * most)
+
+    def _calm(self, account: Account) -> bool:
+        return account.plan.open_limit <= 0 and account.store > COMFORT * account.plan.burst
 
     def _ask(self, request: OpenRequest, keeper: int, belief: int, again: bool) -> None:
         event, self.next_token = request.event, self.next_token + 1
@@ -400,7 +430,7 @@
         self.questions[number] = (event.request, keeper, belief, again)
         self._post(keeper, request.account.key, ASK, event.plan_index, event.units * 4, belief, number)
         left = event.give_up_at - self.now - 2 * self.settings.tick  # an answer comes after it
-        self._timer(min(ASK_AIMS * self.aim, left), number)
+        self._timer(min(max(ASK_AIMS * self.aim, LEAST_ASK), left), number)
 
     def _keeper(self, account: Account) -> int | None:
         """By the customer, so that all its limiters agree; the next in the row while that is silent."""
@@ -439,16 +469,63 @@
     def _reading(self, request: OpenRequest, granted: bool, level: float, rate: float) -> None:
         """Takes in a reading; the units it grants fill the bucket, as nobody else may spend them."""
         account, units = request.account, request.event.units
-        self._refresh(account)
-        account.store, account.reading_at = level, self.now
-        account.others_rate = max(0.0, rate - account.own_rate)
-        account.bucket = min(account.bucket, self._depth(account, 1.0))
+        self._read_level(account, level, rate)
         if granted:
             account.store, account.bucket = level + units, max(account.bucket, 0.0) + units
         elif account.plan.rate > 0:  # what comes in until then is not enough for this
             account.empty_until = self.now + (units - level) / account.plan.rate * SECOND
         self._decide(request, granted)
 
+    def _read_level(self, account: Account, level: float, rate: float) -> None:
+        self._refresh(account)
+        account.store, account.reading_at = level, self.now
+        account.others_rate = max(0.0, rate - account.own_rate)
+        account.bucket = min(account.bucket, self._depth(account, 1.0))
+
+    def _report(self) -> None:
+        """Tells keepers in few messages what was let in without asking; each answers with the levels."""
+        self.reported_at, unreported, self.unreported = self.now, self.unreported, {}
+        uses: dict[int, list[tuple[int, bytes]]] = {}
+        for key, units in unreported.items():
+            account = self.accounts.get(key)
+            keeper = self._keeper(account) if account else None
+            if account is None or keeper is None:
+                continue
+            if keeper == self.settings.number:
+                self._spend(self._ledger(key, account.plan, UNKNOWN), units)
+                continue
+            belief, plan = self._belief(account), self.settings.plans.index(account.plan) % 256
+            uses.setdefault(keeper, []).append((key, USE.pack(key, plan, _byte(units * 4), belief)))
+        for keeper, entries in uses.items():
+            for at in range(0, len(entries), MOST_USES):
+                part = entries[at : at + MOST_USES]
+                if self.mail_room >= 1.0:
+                    self._post_batch(keeper, REPORT, [entry for _, entry in part])
+                else:  # it goes with the next ones
+                    self.unreported.update((key, unreported[key]) for key, _ in part)
+
+    def _post_batch(self, to: int, what: int, entries: list[bytes]) -> None:
+        self.mail_room -= 1.0
+        self.actions.append(api.TellPeer(to, HEAD.pack(BATCH, self._latest(), what) + b"".join(entries)))
+
+    def _told_batch(self, sender: int, what: int, body: bytes) -> None:
+        if what == REPORT and len(body) % USE.size == 0:
+            levels = []
+            for key, index, units, belief in USE.iter_unpack(body):
+                if index < len(self.settings.plans):
+                    plan = self.settings.plans[index]
+                    ledger = self._ledger(key, plan, belief)
+                    self._spend(ledger, units / 4)
+                    level, rate = ledger.level / (plan.burst or 1.0), ledger.rate / (plan.rate or 1.0)
+                    levels.append(LEVEL.pack(key, _byte(level * 254), _byte(rate * 254 / 8)))
+            if levels and self.mail_room >= 1.0:
+                self._post_batch(sender, READINGS, levels)
+        elif what == READINGS and len(body) % LEVEL.size == 0:
+            for key, level, rate in LEVEL.iter_unpack(body):
+                if (account := self.accounts.get(key)) is not None:
+                    plan, since = account.plan, self.unreported.get(key, 0.0)
+                    self._read_level(account, level / 254 * plan.burst - since, rate / 254 * 8 * plan.rate)
+
     def _ledger(self, key: int, plan: Plan, belief: int) -> Ledger:
         """Opened full, or as the asking limiter last heard of it from a keeper that is gone."""
         ledger = self.ledgers.pop(key, None)
@@ -457,10 +534,21 @@
         self.ledgers[key] = ledger
         return ledger
 
-    def _grants(self, ledger: Ledger, units: float) -> bool:
+    def _fill(self, ledger: Ledger) -> None:
         plan, elapsed, ledger.at = ledger.plan, self.now - ledger.at, self.now
         ledger.level = min(plan.burst, ledger.level + plan.rate * elapsed / SECOND)
         ledger.rate *= exp(-elapsed / RATE_SPAN)
+
+    def _spend(self, ledger: Ledger, units: float) -> None:
+        """Takes what was let in already; a store is in debt by the burst at most, as one that went on
+        longer would hold back a customer for what nobody knew."""
+        self._fill(ledger)
+        ledger.level = max(ledger.level - units, -ledger.plan.burst)
+        ledger.rate += units * SECOND / RATE_SPAN
+
+    def _grants(self, ledger: Ledger, units: float) -> bool:
+        plan = ledger.plan
+        self._fill(ledger)
         while ledger.open and self.now - ledger.open[0] > self.latency:
             ledger.open.popleft()  # attempts are taken to be out as long as they usually are
         if (plan.rate > 0 and ledger.level < units) or 0 < plan.open_limit <= len(ledger.open):
@@ -472,23 +560,28 @@
         return True
 
     def _post(self, to: int, key: int, what: int, plan: int, a: float, b: float, asked: int) -> None:
-        """Each sends half of what one takes in, so that intakes hold on average at any count of limiters."""
         self.mail_room -= 1.0
-        at, latest = self.latest
-        told = min(254, int(latest * 64)) if self.now - at < FRESH_FOR else UNKNOWN
-        a, b = min(255, max(0, int(a))), min(UNKNOWN, max(0, int(b)))
-        data = ENTRY.pack(FORMAT, told, key, what, plan % 256, a, b, asked)
+        data = ENTRY.pack(FORMAT, self._latest(), key, what, plan % 256, _byte(a), _byte(b), asked)
         self.actions.append(api.TellPeer(to, data))
 
+    def _latest(self) -> int:
+        """Our latest latency, told with every message so that few samples each still make a level."""
+        at, latest = self.latest
+        return min(254, int(latest * 64)) if self.now - at < FRESH_FOR else UNKNOWN
+
     def _told(self, event: api.PeerMessage) -> None:
         sender, data, settings = event.sender, event.data, self.settings
-        if len(data) != ENTRY.size or data[0] != FORMAT or sender not in range(settings.limiters):
+        if sender not in range(settings.limiters) or len(data) < HEAD.size or data[0] not in (FORMAT, BATCH):
+            return
+        if data[0] == FORMAT and len(data) != ENTRY.size:
             return
-        _, told, key, what, index, a, b, number = ENTRY.unpack(data)
         self.missed.pop(sender, None)
         self.silent.pop(sender, None)
-        if told != UNKNOWN:
-            self.levels.append((self.now, told / 64))
+        if data[1] != UNKNOWN:
+            self.levels.append((self.now, data[1] / 64))
+        if data[0] == BATCH:
+            return self._told_batch(sender, data[2], data[HEAD.size :])
+        _, _, key, what, index, a, b, number = ENTRY.unpack(data)
         if what == ASK and index < len(settings.plans) and self.mail_room >= 1.0:
             plan = settings.plans[index]
             ledger = self._ledger(key, plan, b)
@@ -696,7 +789,9 @@
             self._rate((self.now - self.rated_at) / SECOND)
         self._control()
         intake = self.settings.sources.peer_intake
-        self.mail_room = min(self.mail_room + intake / 2 * elapsed / SECOND, intake / 4)
+        self.mail_room = min(self.mail_room + MAIL_PART * intake * elapsed / SECOND, intake / 4)
+        if self.unreported and self.now - self.reported_at >= REPORT_EVERY:
+            self._report()
         if self.settings.subscribe and self.now - self.asked_at >= self.settings.rules.ask_within / 2:
             self.asked_at = self.now  # well before old news would count against the drain rule
             self.actions += [api.Subscribe(True), api.FetchList()]
