Come back after our share of the refill; judge calm with others' unseen use

A count each second showed one node asked 100 times a second, dropping 20 to 50 of these questions for want of mail, and asking hardly any itself. Ruled out: silent keepers (none), throttle (none), crowding (1 to 6 refusals a second). At fault: Limiter._reading let every limiter of an empty customer ask again as soon as one request's worth had come in, of which all but one asked in vain; _calm let a spike take half the burst at each of four limiters between two reports; what _unanswered let in was never reported.

--- a/elderlock/limiter.py
+++ b/elderlock/limiter.py
@@ -44,6 +44,7 @@
 ASK_AIMS, LEAST_ASK = 0.1, 40.0  # aims, but ms at least, that a keeper has to answer: there and back take 24
 MAIL_PART = 0.75  # of what one takes in that each sends, so that intakes hold on average at any count
 ANSWER_PART = 0.25  # of the room for mail that own questions leave to answers and reports
+CALM_PART = 0.8  # of that room below which none is asked for customers far from their quota
 REPORT_EVERY = 250.0  # ms between reports to keepers of what was let in without asking
 COMFORT = 0.5  # of the burst: with more believed in the store, mail is left to those near their quota
 MOST_MISSED, SILENT_FOR = 2, 2000.0  # questions in a row left open; ms that a keeper is passed over then
@@ -405,10 +406,7 @@
         elif keeper is not None and self._may_ask(account):
             self._ask(request, keeper, belief, False)
         else:
-            inside = (keeper is not None and self._calm(account)) or self._inside(account, event.units)
-            if inside and keeper is not None:
-                self.unreported[account.key] = self.unreported.get(account.key, 0.0) + event.units
-            self._decide(request, inside)
+            self._decide_alone(request, keeper is not None)
 
     def _belief(self, account: Account) -> int:
         """A store that another keeper takes over opens as last heard of."""
@@ -416,13 +414,15 @@
         return min(254, _byte(part * 254)) if account.reading_at > NEVER else UNKNOWN
 
     def _may_ask(self, account: Account) -> bool:
-        """Mail is short where requests are many: then the first half of it is for customers near their
-        quota. The others are let in by the last reading, and their use is reported a little later."""
+        """Mail is short where requests are many: then most of it is for customers near their quota. The
+        others are let in by the last reading, and their use is reported a little later."""
         most = self.settings.sources.peer_intake / 4
-        return self.mail_room >= max(1.0, (0.5 if self._calm(account) else ANSWER_PART) * most)
+        return self.mail_room >= max(1.0, (CALM_PART if self._calm(account) else ANSWER_PART) * most)
 
     def _calm(self, account: Account) -> bool:
-        return account.plan.open_limit <= 0 and account.store > COMFORT * account.plan.burst
+        """Whether much is left also if each of its other limiters let in unseen as much as we did."""
+        unseen = self.unreported.get(account.key, 0.0) * (account.spread - 1)
+        return account.plan.open_limit <= 0 and account.store - unseen > COMFORT * account.plan.burst
 
     def _ask(self, request: OpenRequest, keeper: int, belief: int, again: bool) -> None:
         event, self.next_token = request.event, self.next_token + 1
@@ -455,7 +455,16 @@
         if request and not again and self.mail_room >= 1.0:
             self._ask(request, keeper, belief, True)
         elif request:
-            self._decide(request, self._inside(request.account, request.event.units))
+            self._decide_alone(request, True)
+
+    def _decide_alone(self, request: OpenRequest, kept: bool) -> None:
+        """Without a reading of this moment. What is let in reaches the keeper with the next report: it
+        left a question open where it had no mail for an answer, and has counted nothing then."""
+        account, units = request.account, request.event.units
+        inside = (kept and self._calm(account)) or self._inside(account, units)
+        if inside and kept:
+            self.unreported[account.key] = self.unreported.get(account.key, 0.0) + units
+        self._decide(request, inside)
 
     def _decide(self, request: OpenRequest, inside: bool) -> None:
         request.inside = inside
@@ -472,8 +481,12 @@
         self._read_level(account, level, rate)
         if granted:
             account.store, account.bucket = level + units, max(account.bucket, 0.0) + units
-        elif account.plan.rate > 0:  # what comes in until then is not enough for this
-            account.empty_until = self.now + (units - level) / account.plan.rate * SECOND
+        elif account.plan.rate > 0:
+            # until our share of what comes in is enough for this: were all its limiters to ask as soon as
+            # one request's worth has come in, most would ask in vain and take up the keeper's mail
+            both = account.own_rate + account.others_rate
+            share = max(account.own_rate / both if both > 0 else 1.0, 1.0 / account.spread)
+            account.empty_until = self.now + (units - level) / (account.plan.rate * share) * SECOND
         self._decide(request, granted)
 
     def _read_level(self, account: Account, level: float, rate: float) -> None:
