Bound open requests by the memory; refuse early what reached no server

Found by reading: 20,000 open requests were allowed whatever the memory, and a request whose attempts never came up could be tried on past half of its time. Open requests now take a quarter of the memory at 8 KiB each at most; after four tenths of its time a request that reached no server is refused.

--- a/elderlock/limiter.py
+++ b/elderlock/limiter.py
@@ -58,6 +58,7 @@
 FAILURE = 4.0  # aims a failure counts as: the server is left alone till that fades or is averaged out
 SUSPECT = 8.0  # times the cost of a server whose zone, kind or cell has failed throughout
 EXTRA_PER_SEND, EXTRA_MOST = 0.15, 12.0  # further attempts earned by each first send, and kept at most
+UNSEEN_UNTIL = 0.4  # of a request's time in which it may still go on, where no attempt has reached a server
 UNSEEN_COST = 0.25  # of a further attempt, where the last one never ran
 HOLD_AIMS = 0.25  # aims that a request may wait for a server with room
 TICK, MOST_TICK = 50.0, 250.0  # ms between rounds of upkeep: a quarter of the time between two requests
@@ -749,6 +750,10 @@
     def _again(self, request: OpenRequest, ran: bool) -> None:
         """No attempt is out and none has answered: try another server, or give the final answer."""
         in_time = self._patience(request) > 2 * self.settings.tick and not request.streaming
+        if not any(a.may_have_run for a in request.attempts):
+            # a refusal is worth more to a client while it has time to ask elsewhere
+            time = request.event.give_up_at - request.arrived
+            in_time = in_time and self.now - request.arrived < UNSEEN_UNTIL * time
         fewer = self.extra >= 1.0 and len(request.attempts) < self.settings.allow.max_attempts
         server = self._choose(request) if in_time and fewer else None
         if server is None:
--- a/elderlock/net/config.py
+++ b/elderlock/net/config.py
@@ -27,6 +27,7 @@
     listen: Address
     discovery: Address
     sockets: int
+    memory: float  # MB
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -66,6 +67,7 @@
         listen=address_of(raw["listen"]),
         discovery=address_of(raw["discovery"]),
         sockets=sockets,
+        memory=float(raw["limits"]["memory_mb"]),
         peer_listen=_optional_address(raw.get("peer_listen")),
         peers=peers,
         peers_all=_optional_address(raw.get("peers_all")),
--- a/elderlock/net/gateway.py
+++ b/elderlock/net/gateway.py
@@ -23,6 +23,9 @@
 # floors at worst (2.6 ms each, and jitter), and a busy loop's lateness on both
 MARGIN = 25.0
 SWEEP_EVERY = 1.0  # s
+# Of the memory, for open requests at the bytes that one takes with its answer: the program itself and its
+# connections need the rest also where the limit is 32 MB
+MEMORY_SHARE, REQUEST_BYTES = 0.25, 1 << 13
 FAILED = b"-ERR failed\r\n"
 BUSY = b"-BUSY\r\n"
 REPEATED = b"-ERR a request of this id is open\r\n"
@@ -76,6 +79,8 @@
         self.settings, self.largest = config.settings, config.socket_settings.largest
         aim = min((c.aim for c in config.settings.classes), default=1000.0)
         self.servers = Servers(loop, config.socket_settings, aim, config.sockets, self.now, self._ended)
+        room = int(config.memory * (1 << 20) * MEMORY_SHARE / REQUEST_BYTES)
+        self._most = min(config.socket_settings.max_open, max(room, 1))
         self.tell_peer: Callable[[int, bytes], None] | None = None
         self._limiter = Limiter(config.settings, config.seed, self.now())
         self._requests: dict[str, Request] = {}
@@ -98,8 +103,8 @@
         self._sweep()
 
     def _sweep(self) -> None:
+        self._loop.call_later(SWEEP_EVERY, self._sweep)  # first: it goes on whatever happens below
         self.servers.sweep()
-        self._loop.call_later(SWEEP_EVERY, self._sweep)
 
     # What happened
 
@@ -124,7 +129,7 @@
         if command.name in self._open:
             reply(REPEATED)
             return None
-        if len(self._requests) >= self._config.socket_settings.max_open:
+        if len(self._requests) >= self._most:
             reply(BUSY)
             return None
         self._number += 1
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -240,6 +240,23 @@
     run(test())
 
 
+def test_beyond_what_the_memory_bears_is_refused_at_once() -> None:
+    async def test() -> None:
+        limiter = await Limiter.start(await Server(answers(None)).start())
+        assert limiter.gateway._most == 2000  # the settings', as 192 MB bear more
+        limiter.gateway._most = 3
+        client = await limiter.client()
+        for number in range(3):
+            client.read(f"open{number}")
+        other = await limiter.client()
+        await until(lambda: len(limiter.gateway._requests) == 3)
+        assert str(await other.ask("more")).startswith("BUSY")
+        client.close()
+        await until(lambda: not limiter.gateway._requests)  # and nothing of them is left
+
+    run(test())
+
+
 def test_many_pipelined_commands_are_all_answered() -> None:
     async def test() -> None:
         limiter = await Limiter.start(await Server().start())
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -548,6 +548,36 @@
     assert sum(bool(gate.where(n)) for n in names) >= 1
 
 
+def test_what_reached_no_server_is_refused_before_half_of_its_time() -> None:
+    gate = gateway()
+    name, left = gate.ask(left=1600.0), 1600.0
+    gate.now = 0.3 * left
+    gate.end(name, Outcome.CONNECT_FAILED)
+    assert len(gate.where(name)) == 2 and name not in gate.finals
+    gate.now = 0.45 * left
+    gate.end(name, Outcome.CONNECT_FAILED)
+    assert gate.finals == {name: ["Refuse"]}
+
+
+def test_denied_customers_ask_again_after_their_share_of_the_refill() -> None:
+    gate, name, keeper, asked = asking_gate()
+    customer = gate.limiter.accounts[asked[2]]
+    gate.do(api.PeerMessage(keeper, mail(asked[2], DENIED, a=0, b=127, number=asked[7])))
+    assert name in gate.finals
+    wait = customer.empty_until - gate.now
+    assert wait == pytest.approx(3 * 1000.0 / customer.plan.rate)  # three limiters, one unit each in turn
+
+
+def test_a_spike_is_asked_for_once_others_may_have_let_in_as_much() -> None:
+    gate, name, _, asked = asking_gate()
+    gate.end(name)
+    for _ in range(20):
+        gate.limiter.mail_room = 10.0
+        gate.end(gate.ask(f"c{int(name[1:]) - 1}", spread=3))
+    # a quarter of the burst of 20, where each of three would let in half of it between two reports
+    assert 2.0 <= gate.limiter.unreported[asked[2]] <= 5.0
+
+
 def test_throttling_starts_ends_and_is_logged() -> None:
     gate = gateway()
     for _ in range(120):
