Hold errors against a server by their share, and slow ones not for dead

A count by server each second showed a floor gone silent at 6 s, then one or two of the five left holding 5 to 7 attempts while the others had none, 10 to 20 time-outs a second, and refusals by crowding; stretches stood at 2 to 3 aims. Ruled out: the budget for further attempts (11 of 12 left), mail, the throttle. At fault: Limiter._learn. An error weighed as a latency of 4 aims, so where all servers give some, all but the one that erred longest ago were left out; and a time-out at a server that had answered others meanwhile weighed the same, so each that fell behind was left by all and the rest fell behind in turn.

An error now counts in the server's share of errors, which fades, and a time-out as a failure only where the server answered nobody in that time.

--- a/elderlock/limiter.py
+++ b/elderlock/limiter.py
@@ -640,6 +640,7 @@
     def _cost(self, server: Server, request: OpenRequest, tried: set[str]) -> float:
         stretch = max(self._estimate(server), server.silence(self.now) / self.aim)
         suspicion = max(self.failing.get(group, 0.0) for group in server.groups())
+        suspicion = max(suspicion, server.wrong * exp((server.wrong_at - self.now) / KNOWN_FOR))
         cost = stretch * (1.0 + len(server.out)) * (1.0 + SUSPECT * suspicion**2 + 0.05 * self.rng.random())
         full = server.full_plans >> request.event.plan_index & 1 and self.now - server.full_at < FULL_FOR
         return cost * (10.0 if server.entry.server in tried or full else 1.0)
@@ -722,7 +723,16 @@
     def _learn(self, server: Server, request: OpenRequest, event: api.AttemptEnded) -> None:
         server.out.pop((event.request, event.attempt), None)
         aim, outcome, plan = request.rclass.aim, event.outcome, request.event.plan_index
-        failed = outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.TIMEOUT)
+        # one that answered others while this waited is slow, not dead: held for dead, each server that
+        # fell behind would be left by all at once, and the rest would fall behind in turn
+        silent = outcome is Outcome.TIMEOUT and server.answered_at <= self.now - event.took
+        failed = silent or outcome in (Outcome.RESET, Outcome.CONNECT_FAILED)
+        if outcome in (Outcome.OK, Outcome.ERROR):
+            # an error tells nothing of speed, and all servers may give some alike: taken for a latency it
+            # would leave out all but those that erred longest ago, and these few would drown
+            before = server.wrong * exp((server.wrong_at - self.now) / KNOWN_FOR)
+            wrong = outcome is Outcome.ERROR
+            server.wrong, server.wrong_at = before + 2 * LATENCY_WEIGHT * (wrong - before), self.now
         slow = outcome is Outcome.TIMEOUT
         if outcome is Outcome.OK:
             server.answered_at = self.now
--- a/elderlock/state.py
+++ b/elderlock/state.py
@@ -28,6 +28,8 @@
     stretch: float = 0.0  # averaged latency in aims
     known_at: float = NEVER  # when that was seen
     answered_at: float = 0.0
+    wrong: float = 0.0  # share of its answers that were errors, averaged
+    wrong_at: float = NEVER  # when that was seen
     leaving: bool = False
     gone: bool = False
     out: dict[tuple[str, int], float] = field(default_factory=dict)  # attempts without an outcome, when sent
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -1,5 +1,6 @@
 """The limiter's decisions, event by event."""
 
+from collections.abc import Callable
 from dataclasses import replace
 from itertools import pairwise
 
@@ -613,6 +614,43 @@
     assert len(limiter.timers) == 1
 
 
+def worked(gate: Gateway, count: int, wrong: Callable[[int, str], bool]) -> list[str]:
+    """Where requests went with some always out; a wrong answer is followed by the good one elsewhere."""
+    names: list[str] = []
+    for number in range(count):
+        names.append(gate.ask(customer=f"c{gate.count}"))
+        gate.run(gate.now + 20.0)
+        if number >= 4:
+            if wrong(number, gate.where(names[number - 4])[0]):
+                gate.end(names[number - 4], Outcome.ERROR, took=1.0)
+            gate.end(names[number - 4])
+    return [gate.where(name)[0] for name in names]
+
+
+def test_errors_alike_at_all_servers_leave_none_of_them_out() -> None:
+    went = worked(gateway(), 600, lambda number, _: number % 12 == 0)
+    parts = [went[at : at + 30] for at in range(90, 600, 30)]
+    assert max(max(part.count(name) for name in "abcdef") for part in parts) <= 15
+
+
+def test_a_time_out_at_a_server_that_answers_others_is_slow_and_a_silent_one_is_dead() -> None:
+    for answers in (True, False):
+        gate = gateway(names="a")
+        gate.end(gate.ask(customer="first"))
+        waiting = gate.ask(customer="c")
+        gate.run(gate.now + 500.0)
+        if answers:
+            gate.end(gate.ask(customer="other"))
+        gate.run(gate.now + 499.0)
+        gate.end(waiting, Outcome.TIMEOUT, took=999.0)
+        assert (gate.limiter.servers["a"].stretch > 1.0) is not answers
+
+
+def test_a_server_that_answers_with_nothing_but_errors_fast_is_left_alone() -> None:
+    went = worked(gateway(), 600, lambda _, server: server == "a")
+    assert went[100:].count("a") < 25
+
+
 def test_subscribes_and_asks_again_before_old_news_counts() -> None:
     gate = gateway(settings(subscribe=True))
     gate.run(20000.0)
