Add elderlock load: open-loop schedules, replay, workers on one clock, reports

A closed loop slows with the system under test and hides its stalls.

Change: elderlock/load/ makes schedules from checked TOML scenarios or recorded traces, sends them from worker processes on one clock whatever the answers do, keeps latency from the intended start and service time in HDR classes, judges its own lateness second by second and says why, and adds all requests up. The command has run, up, show, compare, check, rename, record and scenarios. Agents lend workers ([lend]). up opens gRPC doors, and commands find the group that up runs.

--- a/elderlock/cli/main.py
+++ b/elderlock/cli/main.py
@@ -27,7 +27,20 @@
 """
 
 
-def parser() -> argparse.ArgumentParser:
+# whose lack means which extra
+EXTRAS = {"hiredis": "standins", "grpc": "grpc", "envoy": "grpc", "hdrh": "load", "pygal": "load"}
+
+LOAD_EPILOG = """exit codes:
+  0  done, and all thresholds kept
+  2  bad usage, or a file that cannot be used
+  7  a threshold was not kept
+  8  the generator fell behind its schedule
+  9  a part of the load was not sent, or a report not written
+"""
+
+
+def parser(whole: bool = True) -> argparse.ArgumentParser:
+    """`whole`: with the parts of `load`, which take a while to read in."""
     top = argparse.ArgumentParser(
         prog="elderlock", epilog=EPILOG, formatter_class=argparse.RawDescriptionHelpFormatter,
         description="Manages many limiters as one group.",
@@ -105,6 +118,14 @@
     up.add_argument("--for", dest="lasts", type=_seconds, metavar="S", help="stop by itself after S s")
     up.add_argument("--seed", type=int, default=1)
 
+    load = add("load", "rehearses a rush: an open-loop load generator", "elderlock load up tet-monday --html tet.html")
+    load.epilog = LOAD_EPILOG
+    load_commands = load.add_subparsers(dest="load_command", required=True, metavar="COMMAND")
+    if whole:
+        from elderlock.cli.load import add as add_load
+
+        add_load(load_commands, _seconds)
+
     completion = add(
         "completion", "prints a shell's completion script", "elderlock completion bash > ~/.elderlock.bash"
     )
@@ -123,14 +144,15 @@
 
 
 def main(argv: Sequence[str] | None = None) -> int:
-    options = parser().parse_args(argv)
+    words = sys.argv[1:] if argv is None else list(argv)
     try:
+        options = parser(whole="load" in words or "completion" in words).parse_args(words)
         with contextlib.suppress(BrokenPipeError):  # `| head` has read enough
             return _run(options)
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
         return 0
     except ModuleNotFoundError as error:
-        extra = {"hiredis": "standins", "grpc": "grpc", "envoy": "grpc"}.get((error.name or "").split(".")[0], "fleet")
+        extra = EXTRAS.get((error.name or "").split(".")[0], "fleet")
         print(f"elderlock: this needs the extra elderlock[{extra}]: {error}", file=sys.stderr)
         return 2
 
@@ -147,6 +169,10 @@
     try:
         if options.command == "agent":
             return _agent(options)
+        if options.command == "load":
+            from elderlock.cli.load import main as load
+
+            return load(options)
         if options.command == "up":
             from elderlock.cli.up import up
 
@@ -182,15 +208,27 @@
 
 def _group(options: argparse.Namespace) -> Any:
     from elderlock.fleet.client import Group
-    from elderlock.fleet.config import FileError
 
     path = options.group or os.environ.get("ELDERLOCK_GROUP")
     if not path:
-        raise FileError("no group: give --group FILE or set ELDERLOCK_GROUP")
+        path = the_group()
     token = options.token_file or os.environ.get("ELDERLOCK_TOKEN")
     return Group.read(Path(path), Path(token) if token else None)
 
 
+def the_group() -> str:
+    """The one that `elderlock up` runs here. Raises `FileError`."""
+    from elderlock.cli.running import groups
+    from elderlock.fleet.config import FileError
+
+    found = groups()
+    if not found:
+        raise FileError("no group: give --group FILE or set ELDERLOCK_GROUP; none is up here")
+    if len(found) > 1:
+        raise FileError(f"several groups are up here; set ELDERLOCK_GROUP to one of {', '.join(found)}")
+    return found[0]
+
+
 def _routing(agent: Any) -> Any:
     """The agent's door for questions over gRPC, where its file has one."""
     if agent.file.authz is None:
--- a/elderlock/cli/up.py
+++ b/elderlock/cli/up.py
@@ -4,17 +4,23 @@
 
 import argparse
 import asyncio
+import contextlib
+import importlib.util
 import os
 import secrets
 import signal
 import subprocess
 import sys
 import tempfile
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import uvloop
 
 from elderlock.cli.guard import MARK
+from elderlock.cli.running import PREFIX
 from elderlock.fleet.client import Group
 from elderlock.fleet.operate import see
 from elderlock.fleet.report import Exit
@@ -26,18 +32,20 @@
 AGENT_AGAIN = 0.5  # s before an agent that died is started again
 
 
-def up(options: argparse.Namespace) -> int:
-    if not (1 <= options.limiters <= 40 and 1 <= options.boxes <= 200 and 0 <= options.traffic <= 5000):
-        print("elderlock: up takes 1 to 40 limiters, 1 to 200 boxes, 0 to 5000 requests a second", file=sys.stderr)
-        return 2
-    folder = Path(tempfile.mkdtemp(prefix="elderlock-up-"))
+class UpError(Exception):
+    """The group did not come up; the text is for whoever started it."""
+
+
+def swept(work: Callable[[Path, str], Coroutine[Any, Any, int]]) -> int:
+    """Runs it with a folder of its own and a mark for what it starts, and sweeps both up however it ends."""
+    folder = Path(tempfile.mkdtemp(prefix=PREFIX))
     mark = secrets.token_hex(8)
     guard = subprocess.Popen(
         [sys.executable, "-B", "-m", "elderlock.cli.guard", str(folder)], stdin=subprocess.PIPE, cwd=ROOT,
         env={**os.environ, MARK: mark}, start_new_session=True,
     )  # fmt: skip
     try:
-        return uvloop.run(_up(options, folder, mark))
+        return uvloop.run(work(folder, mark))
     except KeyboardInterrupt:
         return 130
     finally:
@@ -48,6 +56,13 @@
         guard.wait()
 
 
+def up(options: argparse.Namespace) -> int:
+    if not (1 <= options.limiters <= 40 and 1 <= options.boxes <= 200 and 0 <= options.traffic <= 5000):
+        print("elderlock: up takes 1 to 40 limiters, 1 to 200 boxes, 0 to 5000 requests a second", file=sys.stderr)
+        return 2
+    return swept(lambda folder, mark: _up(options, folder, mark))
+
+
 class _Agent:
     """The agent's process, started again when it dies: its limiters run on meanwhile."""
 
@@ -72,6 +87,33 @@
             await asyncio.sleep(AGENT_AGAIN)
 
 
+def has_grpc() -> bool:
+    """Whether the extra elderlock[grpc] is here, told without loading it."""
+    return all(importlib.util.find_spec(name) is not None for name in ("grpc", "envoy", "grpc_health"))
+
+
+@asynccontextmanager
+async def running(
+    folder: Path, mark: str, limiters: int, boxes: int, seed: int, stop: asyncio.Event, lend: int = 0
+) -> AsyncIterator[tuple[World, Group]]:
+    """A group that answers, with a gRPC door each where the extra is here. Raises `UpError`; `stop` ends the
+    wait for it."""
+    world = World(folder, limiters, boxes, seed=seed, grpc=has_grpc(), lend=lend)
+    await world.open()
+    agent = _Agent(world.agent_path(0), mark, folder / "agent.log")
+    keeping = asyncio.get_running_loop().create_task(agent.keep())
+    group = Group.read(world.group_path)
+    try:
+        if not await _ready(group, limiters, stop, agent.unusable) and not stop.is_set():
+            said = (folder / "agent.log").read_text()
+            raise UpError(f"the group did not come up; its agent says:\n{said}")
+        yield world, group
+    finally:
+        keeping.cancel()
+        group.close()
+        await world.close()
+
+
 async def _up(options: argparse.Namespace, folder: Path, mark: str) -> int:
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     presses = 0
@@ -86,38 +128,27 @@
     hurry = asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
         loop.add_signal_handler(number, pressed)
-    world = World(folder, options.limiters, options.boxes, seed=options.seed)
-    await world.open()
-    agent = _Agent(world.agent_path(0), mark, folder / "agent.log")
-    keeping = loop.create_task(agent.keep())
-    group = Group.read(world.group_path)
-    front: Front | None = None
     try:
-        if not await _ready(group, options.limiters, stop, agent.unusable):
+        async with running(folder, mark, options.limiters, options.boxes, options.seed, stop) as (world, _):
             if stop.is_set():
                 return 0
-            print("the group did not come up; its agent says:", file=sys.stderr)
-            sys.stderr.write((folder / "agent.log").read_text())
-            return Exit.NOTHING
-        _say(world, options)
-        if options.traffic > 0:
-            front = Front(world.listens, options.traffic, options.seed)
-            front.start()
-        try:
-            async with asyncio.timeout(options.lasts):
-                await stop.wait()
-        except TimeoutError:
-            pass
-        if front is not None and not hurry.is_set():
-            await _first(front.stop(), hurry)
-            ends = ", ".join(f"{count} {how}" for how, count in sorted(front.ledger.ends.items()))
-            print(f"{front.ledger.sent} requests: {ends or 'none'}", flush=True)
-        print("stopping" if not hurry.is_set() else "stopping at once", flush=True)
-        return 0
-    finally:
-        keeping.cancel()
-        group.close()
-        await world.close()
+            _say(world, options)
+            front: Front | None = None
+            if options.traffic > 0:
+                front = Front(world.listens, options.traffic, options.seed)
+                front.start()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(options.lasts):
+                    await stop.wait()
+            if front is not None and not hurry.is_set():
+                await _first(front.stop(), hurry)
+                ends = ", ".join(f"{count} {how}" for how, count in sorted(front.ledger.ends.items()))
+                print(f"{front.ledger.sent} requests: {ends or 'none'}", flush=True)
+            print("stopping" if not hurry.is_set() else "stopping at once", flush=True)
+            return 0
+    except UpError as error:
+        print(error, file=sys.stderr)
+        return Exit.NOTHING
 
 
 async def _first(work: object, event: asyncio.Event) -> None:
@@ -146,12 +177,14 @@
 
 def _say(world: World, options: argparse.Namespace) -> None:
     traffic = f", {options.traffic:g} requests a second" if options.traffic else ""
+    doors = f"  ask over gRPC: {', '.join(world.doors)}\n" if world.doors else ""
     print(
         f"{options.limiters} limiters, {options.boxes} boxes, one agent{traffic}; all on loopback.\n"
         f"  clients connect to {', '.join(world.listens)}\n"
-        f"  ask:    export ELDERLOCK_GROUP={world.group_path}\n"
-        f"          elderlock show\n"
+        f"{doors}"
+        f"  ask:    elderlock show\n"
         f"          elderlock drain box s-00\n"
+        f"  where several groups are up: export ELDERLOCK_GROUP={world.group_path}\n"
         f"  second operator: --token-file {world.token_path(OPERATORS[1])}\n"
         f"  stop:   Ctrl-C here (twice: at once)",
         flush=True,
--- a/elderlock/fleet/agent.py
+++ b/elderlock/fleet/agent.py
@@ -23,6 +23,7 @@
 
 from elderlock.control.attach import build
 from elderlock.control.caller import Caller, NoAnswerError, NotSentError
+from elderlock.control.figures import MOST_ACCOUNTS
 from elderlock.control.records import Offer, Record, Records
 from elderlock.control.transport import Bounds, Connection, FrameServer
 from elderlock.fleet import messages as f
@@ -30,6 +31,7 @@
 from elderlock.fleet.charge import Charge
 from elderlock.fleet.config import AgentFile, FileError, address, control_path, read_agent, read_group
 from elderlock.fleet.intents import decide
+from elderlock.fleet.lending import Lending
 from elderlock.fleet.membership import Membership
 from elderlock.fleet.store import Store, StoreError
 
@@ -96,6 +98,7 @@
                 if member.name != self.name
             ]
         self.membership = Membership(self.name, members)
+        self.lending = Lending(file.lend.workers)
         bounds = Bounds(f.LONGEST, f.LONGEST_HELLO, CONNECTIONS)
         self._server: FrameServer[Visitor] = FrameServer(bounds, Visitor, self._handle, self._broken)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -165,6 +168,7 @@
         for charge in self.charges.values():
             charge.close()
         self._server.close()
+        self.lending.close()
         self.store.close()
         os.close(self._lock)
 
@@ -284,6 +288,8 @@
                 return self._order(who, message)
             case f.Exchange():
                 return self.exchanged(message)
+            case f.Lend():
+                return await self._lend(who, message)
             case f.Audit():
                 lines = self.store.audit(max(0, min(message.most, 1000)))
                 return f.Audited(message.id, self.name, lines)
@@ -291,7 +297,7 @@
                 return f.Refused("bad-message", "hello comes once")
 
     async def _show(self, show: f.Show) -> f.Message:
-        accounts = max(0, min(show.accounts, 200))
+        accounts = max(0, min(show.accounts, MOST_ACCOUNTS))
         within = max(0.0, min(show.within_ms / 1000.0, MOST_WITHIN))
         await asyncio.gather(*(c.link.look(within, accounts) for c in self.charges.values()))
         return f.Shown(
@@ -347,6 +353,15 @@
         self.store.reached(number, text)
         return f.Ordered(order.id, self.name, after, text)
 
+    async def _lend(self, who: Identity, lend: f.Lend) -> f.Message:
+        begins = self.lending.begins(lend.job)
+        if begins:
+            if refused := self.lending.refusal():
+                return f.Refused("not-lent", refused, lend.id)
+            self.store.keep([], f.AuditLine(unix_ms(), who.name, who.role, f"lent a worker: {lend.job}", 0, ""))
+        taken, first, frames, ended = await self.lending.talk(lend.job, lend.first, lend.frames, lend.have, lend.end)
+        return f.Lent(lend.id, self.name, taken, first, frames, ended)
+
     def usable(self, names: Iterable[str]) -> set[str]:
         """Of these limiters those that are neither drained nor, as far as is known, silent: our own by their
         own word, others' by what their agents said last. One that nobody speaks of is not held back."""
--- a/elderlock/fleet/auth.py
+++ b/elderlock/fleet/auth.py
@@ -21,7 +21,7 @@
 SHORTEST = 16  # characters
 MAY: dict[str, frozenset[str]] = {
     "viewer": frozenset({"show", "progress", "audit"}),
-    "operator": frozenset({"show", "progress", "audit", "intend", "order"}),
+    "operator": frozenset({"show", "progress", "audit", "intend", "order", "lend"}),
     "agent": frozenset({"exchange"}),
 }
 
--- a/elderlock/fleet/config.py
+++ b/elderlock/fleet/config.py
@@ -13,6 +13,7 @@
 from elderlock.fleet.supervise import Policy
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+MOST_LENT = 64
 LONGEST_SOCKET = 100  # bytes of a Unix socket's path; the kernel takes 107
 T = TypeVar("T")
 
@@ -66,6 +67,12 @@
     stop_within: float = 6.0
 
 
+class LendPart(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """How many workers of the load generator this machine lends to operators at once; none unless it says so."""
+
+    workers: int = 0
+
+
 class AgentFile(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """`authz`: the agent's own door for questions, checked by the room that it switches on."""
 
@@ -73,6 +80,7 @@
     limiter: tuple[LimiterPart, ...] = ()
     authz: dict[str, Any] | None = None
     supervise: SupervisePart = SupervisePart()
+    lend: LendPart = LendPart()
 
     def policy(self) -> Policy:
         s = self.supervise
@@ -153,6 +161,8 @@
     supervise = file.supervise
     if min(supervise.first_backoff, supervise.stop_within, supervise.window) <= 0 or supervise.crashes < 1:
         raise FileError(f"{path}: [supervise] needs times above 0 and one crash at least")
+    if not 0 <= file.lend.workers <= MOST_LENT:
+        raise FileError(f"{path}: [lend] workers lies between 0 and {MOST_LENT}")
     return file
 
 
--- /dev/null
+++ b/elderlock/load/targets.py
@@ -0,0 +1,57 @@
+"""Where a request goes, as the operators' front chooses: among the limiters of its account's set that take
+part, else among all that do. No I/O; times are s."""
+
+from __future__ import annotations
+
+import ipaddress
+import random
+from collections.abc import Sequence
+
+
+def address(text: str) -> tuple[str, int]:
+    """`HOST:PORT`, the host an IP address: no name is looked up. Raises `ValueError`."""
+    host, found, port = text.rpartition(":")
+    if not found or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not an address like 127.0.0.1:6379")
+    return str(ipaddress.ip_address(host.strip("[]"))), int(port)
+
+
+class Front:
+    """A target takes part from its first good answer to PING on, until it answers PING with anything else or
+    has been silent for `silent` s: so long the front goes on sending to a dead one."""
+
+    def __init__(self, count: int, silent: float) -> None:
+        self._silent = silent
+        self.part = [False] * count
+        self._heard = [0.0] * count
+        self.changes: list[tuple[float, int, bool]] = []
+
+    def ponged(self, target: int, now: float) -> None:
+        self._heard[target] = now
+        self._set(target, True, now)
+
+    def turned_away(self, target: int, now: float) -> None:
+        """It answered PING with something else: it is drained, or not ready."""
+        self._set(target, False, now)
+
+    def look(self, now: float) -> None:
+        for target, heard in enumerate(self._heard):
+            if self.part[target] and now - heard > self._silent:
+                self._set(target, False, now)
+
+    def _set(self, target: int, part: bool, now: float) -> None:
+        if self.part[target] != part:
+            self.part[target] = part
+            self.changes.append((now, target, part))
+
+    def choose(self, spread: int, first: int, rng: random.Random, but: Sequence[int] = ()) -> int | None:
+        """One of the set, not one of `but` where there is another; None where none takes part."""
+        count = len(self.part)
+        able = [m for m in ((first + n) % count for n in range(min(spread, count))) if self.part[m]]
+        if not able:
+            able = [m for m in range(count) if self.part[m]]
+        others = [m for m in able if m not in but] if but else able
+        able = others or able
+        if not able:
+            return None
+        return able[0] if len(able) == 1 else able[int(rng.random() * len(able))]
