Log structured lines, say bounds, start commands sooner, tell a stop from a shared core

Need: seen in use.

Change: structlog for agent and commands, as text or JSON (--log-format). Numbers that are refused come with their bounds. Commands that read the group's file alone do not load supervision, the store or decoders that they do not use. HDR histograms in control/figures.py. A generator that stood still for long is told as stopped also where its core was taken from it besides. A test that fills the machine runs alone.

--- a/elderlock/authz/mapping.py
+++ b/elderlock/authz/mapping.py
@@ -124,9 +124,9 @@
 
 def _number(text: str, what: str, form: re.Pattern[str], least: float, most: float) -> float:
     if not form.fullmatch(text):
-        raise Unreadable(f"the {what} is not a number")
+        raise Unreadable(f"the {what} is not a number between {least:g} and {most:g}")
     number = float(text)
     if not least <= number <= most:
-        raise Unreadable(f"the {what} is out of range")
+        raise Unreadable(f"the {what} is out of range: between {least:g} and {most:g}")
     return number
 
--- a/elderlock/authz/router.py
+++ b/elderlock/authz/router.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import random
 import time
 from collections import OrderedDict
@@ -19,6 +18,7 @@
 from envoy.service.ratelimit.v3 import rls_pb2_grpc as rls_grpc
 from google.rpc import code_pb2
 
+from elderlock import logs
 from elderlock.authz.config import AuthzError, AuthzFile, Tls, tls_bytes
 from elderlock.authz.door import BOX, denied, server_certificate, subjects_of, within_of
 from elderlock.authz.mapping import Asked, NotTheirs, Terms, Unreadable
@@ -31,7 +31,7 @@
 KEPT = 50_000  # permissions whose limiter is remembered, the oldest forgotten first
 RECONNECT_MS = 100
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
 
 class LimiterAt(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -147,7 +147,7 @@
             try:
                 self._certificate = server_certificate(self._file.door.tls, self._folder)
             except Exception as error:
-                log.error("the certificates stay as they were: %s", error)
+                log.error("the certificates stay as they were", error=str(error))
 
     async def stop(self) -> None:
         await self._server.stop(self._file.door.bounds.drain)
--- a/elderlock/cli/main.py
+++ b/elderlock/cli/main.py
@@ -5,7 +5,6 @@
 import argparse
 import asyncio
 import contextlib
-import logging
 import os
 import signal
 import sys
@@ -110,6 +109,7 @@
     agent = add("agent", "runs the agent of this machine", "elderlock agent deploy/agent.toml")
     agent.add_argument("file", type=Path)
     agent.add_argument("--check", action="store_true", help="only check the file")
+    agent.add_argument("--log-format", choices=("text", "json"), default="text", help="of its log lines (text)")
 
     up = add("up", "starts a whole group on loopback, to try things", "elderlock up --limiters 3 --traffic 60")
     up.add_argument("--limiters", type=int, default=3, metavar="N")
@@ -164,7 +164,6 @@
         print(shtab.complete(parser(), options.shell))
         return 0
     from elderlock.fleet.config import FileError
-    from elderlock.fleet.store import StoreError
 
     try:
         if options.command == "agent":
@@ -185,7 +184,7 @@
             "audit": commands.audit,
         }  # fmt: skip
         return _interruptible(work[options.command](options, _group(options)))
-    except (FileError, StoreError) as error:
+    except FileError as error:
         print(f"elderlock: {error}", file=sys.stderr)
         return 2
 
@@ -257,17 +256,19 @@
 def _agent(options: argparse.Namespace) -> int:
     import uvloop
 
+    from elderlock import logs
     from elderlock.fleet.agent import check, serve
+    from elderlock.fleet.store import StoreError
 
     if options.check:
         check(options.file)
         _routing_checked(options.file)
         print(f"{options.file}: can be used")
         return 0
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    logs.configure(options.log_format)
     try:
         uvloop.run(serve(options.file, _routing))
-    except OSError as error:
+    except (OSError, StoreError) as error:
         print(f"elderlock: {error}", file=sys.stderr)
         return 2
     return 0
--- a/elderlock/control/figures.py
+++ b/elderlock/control/figures.py
@@ -2,40 +2,37 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
 from collections.abc import Sequence
 
+from hdrh.histogram import HdrHistogram
+
 from elderlock.control.messages import Counts
 
 MOST_ACCOUNTS = 4096  # counted apart; the first seen one then goes into the sum of the others
 OTHERS = "(others)"
-BOUNDS = tuple(0.5 * 1.15**n for n in range(80))  # ms; each answer is placed within 15 per cent
-FADE = 0.5  # of the histogram that stays when it is halved
-HALVE_AT = 20_000  # answers, so that the quantiles are of the recent past
+LONGEST, DIGITS = 600_000_000, 2  # µs, and significant digits: each answer is placed within one per cent
+HALVE_AT = 20_000  # answers, after which the older half is forgotten, so that quantiles are of the recent past
 
 
 class Times:
-    """A histogram of times to answer with a bounded memory of the past."""
+    """HDR histograms of times to answer, with a bounded memory of the past: the present half and the one before."""
 
     def __init__(self) -> None:
-        self._counts = [0.0] * (len(BOUNDS) + 1)
-        self._sum = 0.0
+        self._now, self._before = HdrHistogram(1, LONGEST, DIGITS), HdrHistogram(1, LONGEST, DIGITS)
 
     def add(self, took: float) -> None:
-        self._counts[bisect_left(BOUNDS, took)] += 1.0
-        self._sum += 1.0
-        if self._sum >= HALVE_AT:
-            self._counts = [count * FADE for count in self._counts]
-            self._sum *= FADE
+        """`took` in ms."""
+        self._now.record_value(min(max(int(took * 1000.0), 1), LONGEST))
+        if self._now.get_total_count() >= HALVE_AT / 2:
+            self._before, self._now = self._now, self._before
+            self._now.reset()
 
     def quantile(self, share: float) -> float:
         """ms, the upper bound of the class in which it lies; -1 before any answer."""
-        left = share * self._sum
-        for count, bound in zip(self._counts, BOUNDS, strict=False):
-            left -= count
-            if left <= 0.0 and self._sum:
-                return bound
-        return BOUNDS[-1] if self._sum else -1.0
+        both = HdrHistogram(1, LONGEST, DIGITS)
+        both.add(self._before)
+        both.add(self._now)
+        return float(both.get_value_at_percentile(100.0 * share)) / 1000.0 if both.get_total_count() else -1.0
 
 
 SERVED, REFUSED, FAILED, GONE = range(4)
--- a/elderlock/control/messages.py
+++ b/elderlock/control/messages.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from functools import cache
+
 import msgspec
 
 from elderlock.control.records import Record
@@ -159,8 +161,17 @@
 FromLimiter = Welcome | Refused | Applied | State | Stopping
 
 _encoder = msgspec.msgpack.Encoder()
-_to_limiter: msgspec.msgpack.Decoder[ToLimiter] = msgspec.msgpack.Decoder(ToLimiter)
-_from_limiter: msgspec.msgpack.Decoder[FromLimiter] = msgspec.msgpack.Decoder(FromLimiter)
+
+
+# made when first needed: a limiter reads the one and its agent the other, a command neither
+@cache
+def _to_limiter() -> msgspec.msgpack.Decoder[ToLimiter]:
+    return msgspec.msgpack.Decoder(ToLimiter)
+
+
+@cache
+def _from_limiter() -> msgspec.msgpack.Decoder[FromLimiter]:
+    return msgspec.msgpack.Decoder(FromLimiter)
 
 
 def encode(message: Message) -> bytes:
@@ -169,8 +180,8 @@
 
 def to_limiter(body: bytes) -> ToLimiter:
     """Raises `msgspec.DecodeError`, whose text says what was wrong."""
-    return _to_limiter.decode(body)
+    return _to_limiter().decode(body)
 
 
 def from_limiter(body: bytes) -> FromLimiter:
-    return _from_limiter.decode(body)
+    return _from_limiter().decode(body)
--- a/elderlock/fleet/agent.py
+++ b/elderlock/fleet/agent.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import fcntl
-import logging
 import os
 import random
 import signal
@@ -21,6 +20,7 @@
 
 import msgspec
 
+from elderlock import logs
 from elderlock.control.attach import build
 from elderlock.control.caller import Caller, NoAnswerError, NotSentError
 from elderlock.control.figures import MOST_ACCOUNTS
@@ -45,7 +45,7 @@
 RETIRE_EVERY = 60.0  # s
 RETIRE_AFTER = 24 * 3600 * 1000.0  # ms after which a record that says nothing any more is forgotten
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
 
 def unix_ms() -> float:
@@ -72,7 +72,7 @@
         self._store_error = ""
         if self.store.set_aside is not None:
             self._store_error = f"the store was damaged; put aside as {self.store.set_aside.name}"
-            log.error("%s", self._store_error)
+            log.error("store trouble", agent=self.name, error=self._store_error)
         self._epoch = self.store.next_epoch()
         self.records = Records(self.store.records())
         self._started = time.monotonic()
@@ -126,7 +126,7 @@
             peer.start()
         self._task(self._release())
         self._retire()
-        log.info("agent %s listens at %s:%d", self.name, host, self.port)
+        log.info("agent listens", agent=self.name, address=f"{host}:{self.port}")
 
     async def _release(self) -> None:
         """Learns first, then starts: a drain that was made while this agent was away is held by the
@@ -137,7 +137,7 @@
                 await asyncio.gather(*tried, *(peer.met.wait() for peer in self.peers))
         except TimeoutError:
             away = [peer.name for peer in self.peers if not peer.met.is_set()]
-            log.warning("limiters start without word from %s", ", ".join(away) or "all sockets")
+            log.warning("limiters start without word from others", agent=self.name, others=away or ["all sockets"])
         for charge in self.charges.values():
             charge.release()
 
@@ -181,7 +181,7 @@
 
     def _store_failed(self, error: StoreError) -> None:
         self._store_error = f"the store fails: {error}"
-        log.error("%s", self._store_error)
+        log.error("store trouble", agent=self.name, error=self._store_error)
 
     def _keep(self, records: list[Record], line: f.AuditLine) -> int:
         """In the store first; then in force here and on the way to all. Raises `StoreError`, and then
@@ -211,7 +211,7 @@
             self._keep(news, line)
         except StoreError:
             return
-        log.info("learnt from %s: %s", via, _targets(news))
+        log.info("records learnt", agent=self.name, via=via, records=_targets(news))
 
     def _given_back(self, limiter: str, records: tuple[Record, ...]) -> None:
         """A limiter gives back what a lost store lacks."""
@@ -253,7 +253,7 @@
             return f.Refused("version", f"version {told} is not known; this agent speaks {f.VERSION}")
         identity = self.tokens.who(hello.token)
         if identity is None:
-            log.warning("a connection with a wrong token was refused")
+            log.warning("connection refused: wrong token", agent=self.name)
             return f.Refused("token", "the token is not known here")
         visitor.identity, visitor.caller = identity, hello.caller
         return f.Welcome(f.VERSION, self.name, identity.name, identity.role, self._epoch)
@@ -443,7 +443,7 @@
                     await caller.tcp(*self._at, self._tls)
                 await self._talk(caller)
             except (OSError, TimeoutError, NotSentError, NoAnswerError) as error:
-                log.debug("agent %s: %r", self.name, error)
+                log.debug("other agent not reached", other=self.name, error=repr(error))
             finally:
                 caller.close()
             await asyncio.sleep(EXCHANGE_EVERY * random.uniform(0.5, 1.0))
@@ -452,7 +452,7 @@
         hello = f.Hello((f.VERSION,), self._token, self._agent.name)
         answer = await caller.ask(hello, PEER_WITHIN)
         if isinstance(answer, f.Refused):
-            log.error("agent %s refuses us: %s", self.name, answer.text)
+            log.error("other agent refuses us", other=self.name, why=answer.text)
             await asyncio.sleep(PEER_WITHIN)
             return
         digest = ""  # of what it told last; the records go along while it differs from ours
@@ -461,7 +461,7 @@
             word = self._agent.word(caller.next_id(), digest != self._agent.records.digest())
             answer = await caller.ask(word, PEER_WITHIN)
             if not isinstance(answer, f.Exchange) or answer.agent != self.name:
-                log.error("at the address of agent %s another one answers", self.name)
+                log.error("another agent answers at its address", other=self.name)
                 return
             digest = answer.digest
             self._agent.heard(answer)
@@ -512,7 +512,7 @@
             await other.stop()
     finally:
         agent.close()
-    log.info("agent %s ends; its limiters run on", agent.name)
+    log.info("agent ends; its limiters run on", agent=agent.name)
 
 
 def check(path: Path) -> None:
--- a/elderlock/fleet/charge.py
+++ b/elderlock/fleet/charge.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import os
 import random
 import signal
@@ -13,6 +12,7 @@
 
 import msgspec
 
+from elderlock import logs
 from elderlock.control import messages as m
 from elderlock.control.records import Record, Records
 from elderlock.fleet.config import LimiterPart
@@ -26,7 +26,7 @@
 STOP_ANSWER_WITHIN = 0.5  # s; then SIGTERM says the same
 HELD_BACK = 1.0  # s between tries to start one whose drains could not be written
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
 
 def write_private(path: Path, data: bytes) -> None:
@@ -74,7 +74,7 @@
     def _take(self, process: Process) -> None:
         self.process, self.adopted = process, True
         self.supervisor.adopted(self._now())
-        log.info("%s: adopted process %d", self.name, process.pid)
+        log.info("limiter adopted", limiter=self.name, pid=process.pid)
 
     def _welcomed(self, welcome: m.Welcome, anew: bool) -> None:
         """It answers on its socket. One that nobody here started, by hand or by an agent whose store is
@@ -109,7 +109,7 @@
         try:
             self._store.set_limiter(self.name, self.supervisor.wanted, pid, started)
         except StoreError as error:  # it is met again by its socket
-            log.error("%s: its process could not be noted: %s", self.name, error)
+            log.error("process could not be noted", limiter=self.name, error=str(error))
 
     def _do(self, do: Do | None) -> None:
         match do:
@@ -118,7 +118,7 @@
             case Do.TERMINATE:
                 asyncio.get_running_loop().create_task(self._terminate())
             case Do.KILL if self.process is not None:
-                log.warning("%s: killed, as it did not end in time", self.name)
+                log.warning("limiter killed, as it did not end in time", limiter=self.name)
                 self.process.signal(signal.SIGKILL)
         self._arm()
 
@@ -138,7 +138,7 @@
             return
         if self.link.listening:
             # something serves on its socket: a second one would fight it for its addresses
-            log.warning("%s: not started, its socket is in use (%s)", self.name, self.link.why)
+            log.warning("limiter not started, its socket is in use", limiter=self.name, why=self.link.why)
             return self.supervisor.hold(self._now() + HELD_BACK * 1000.0)
         if not self.write_boot():
             # a start without its drains would send work to a box that an operator took out
@@ -153,17 +153,17 @@
                 self._exited,
             )  # fmt: skip
         except OSError as error:
-            log.error("%s: cannot be started: %s", self.name, error)
+            log.error("limiter cannot be started", limiter=self.name, error=str(error))
             self._do(self.supervisor.exited(self._now()))
             return
         self.adopted = False
-        log.info("%s: started as process %d", self.name, self.process.pid)
+        log.info("limiter started", limiter=self.name, pid=self.process.pid)
         self._remember()
         self.link.kick()
 
     def _exited(self) -> None:
         process, self.process = self.process, None
-        log.info("%s: process %s has ended", self.name, process.pid if process else "?")
+        log.info("limiter ended", limiter=self.name, pid=process.pid if process else None)
         self.link.ended()
         self._do(self.supervisor.exited(self._now()))
         self._remember()
@@ -185,7 +185,7 @@
             write_private(self._home / "operators.toml", text.encode())
         except (OSError, UnicodeDecodeError) as error:
             self.boot_error = f"its drains could not be written for its next start: {error}"
-            log.error("%s: %s", self.name, self.boot_error)
+            log.error("boot files not written", limiter=self.name, error=self.boot_error)
             return False
         self.boot_error = ""
         return True
--- a/elderlock/fleet/config.py
+++ b/elderlock/fleet/config.py
@@ -6,11 +6,12 @@
 import re
 import tomllib
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
 
-from elderlock.fleet.supervise import Policy
+if TYPE_CHECKING:  # of the agent alone: commands that only read the group's file do not wait for it
+    from elderlock.fleet.supervise import Policy
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 MOST_LENT = 64
@@ -83,6 +84,8 @@
     lend: LendPart = LendPart()
 
     def policy(self) -> Policy:
+        from elderlock.fleet.supervise import Policy
+
         s = self.supervise
         return Policy(
             1000 * s.first_backoff, 1000 * s.most_backoff, 1000 * s.steady, s.crashes, 1000 * s.window,
--- a/elderlock/fleet/lending.py
+++ b/elderlock/fleet/lending.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import sys
 from collections.abc import Sequence
 
+from elderlock import logs
 from elderlock.control.framing import FrameError, Framer, framed
 
 LEASE = 5.0  # s without a question after which a worker is ended
@@ -18,7 +18,7 @@
 MOST_ANSWERED = 8 << 20  # bytes of frames in one answer; an agent's message has a bound
 WORKER = ("-m", "elderlock.load.worker")
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
 
 class _Lent:
@@ -135,7 +135,7 @@
         return answer
 
     def _lapse(self, lent: _Lent) -> None:
-        log.warning("the worker of %s is ended: nobody asks after it", lent.job)
+        log.warning("lent worker ended: nobody asks after it", job=lent.job)
         self._drop(lent)
 
     def _drop(self, lent: _Lent) -> None:
--- a/elderlock/fleet/messages.py
+++ b/elderlock/fleet/messages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from functools import cache
 from typing import Literal
 
 import msgspec
@@ -240,8 +241,17 @@
 FromAgent = Welcome | Refused | Shown | Intended | Progressed | Ordered | Exchange | Audited | Lent
 
 _encoder = msgspec.msgpack.Encoder()
-_to_agent: msgspec.msgpack.Decoder[ToAgent] = msgspec.msgpack.Decoder(ToAgent)
-_from_agent: msgspec.msgpack.Decoder[FromAgent] = msgspec.msgpack.Decoder(FromAgent)
+
+
+# made when first needed: a command reads the one and an agent the other, and each takes a while to make
+@cache
+def _to_agent() -> msgspec.msgpack.Decoder[ToAgent]:
+    return msgspec.msgpack.Decoder(ToAgent)
+
+
+@cache
+def _from_agent() -> msgspec.msgpack.Decoder[FromAgent]:
+    return msgspec.msgpack.Decoder(FromAgent)
 
 
 def encode(message: Message) -> bytes:
@@ -249,8 +259,8 @@
 
 
 def to_agent(body: bytes) -> ToAgent:
-    return _to_agent.decode(body)
+    return _to_agent().decode(body)
 
 
 def from_agent(body: bytes) -> FromAgent:
-    return _from_agent.decode(body)
+    return _from_agent().decode(body)
--- a/elderlock/fleet/operate.py
+++ b/elderlock/fleet/operate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import secrets
+import os
 from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
@@ -119,7 +119,7 @@
     loop = asyncio.get_running_loop()
     keys: list[Key] = [(order.kind, target) for target in targets]
     held = {key: seen.records.get(*key) for key in keys}
-    account = Account(secrets.token_hex(16), {key: order.drained for key in keys}, known=seen.limiters())
+    account = Account(os.urandom(16).hex(), {key: order.drained for key in keys}, known=seen.limiters())
     wishes = tuple(f.Wish(order.kind, key[1], order.drained, _expect(order, held[key])) for key in keys)
     known = tuple(record for record in held.values() if record is not None)
     generation = seen.records.generation() + 1
--- a/elderlock/load/lateness.py
+++ b/elderlock/load/lateness.py
@@ -16,6 +16,7 @@
 CPU_FULL = 0.8  # of a core, from which on the generator's own work is the cause
 WAITED_SHARE = 0.3  # of a second that it was ready and no core was free
 STOPPED_SHARE = 0.5  # of the worst lateness, for a stand-still that explains it
+LEAST_STOP = 200.0  # ms of one stand-still without work, which no sharing of cores makes
 PREEMPTED = 4  # times in a second that a core was taken from it: somebody else is busy there
 
 
@@ -76,6 +77,9 @@
     if most > truth.late_p99_ms:
         idle = facts.gap_ms - facts.gap_cpu_ms
         full = facts.cpu_ms >= CPU_FULL * facts.wall_ms or facts.gap_cpu_ms >= STOPPED_SHARE * most
+        # cores are shared in slices: one long stand-still is none of them, however often it was preempted besides
+        if facts.wait_ms < WAITED_SHARE * facts.wall_ms and idle >= max(STOPPED_SHARE * most, LEAST_STOP):
+            return "stopped", f"it stood still for {facts.gap_ms:.0f} ms without work: stopped from outside"
         if facts.wait_ms >= WAITED_SHARE * facts.wall_ms or facts.preempted >= PREEMPTED and not full:
             return "core", (
                 f"a core was taken from it {facts.preempted} times and none was free for it at once; "
@@ -83,8 +87,6 @@
             )
         if full:
             return "cpu", f"its own work took {facts.cpu_ms:.0f} ms of CPU in {facts.wall_ms:.0f}"
-        if idle >= STOPPED_SHARE * most:
-            return "stopped", f"it stood still for {facts.gap_ms:.0f} ms without work: stopped from outside"
     if facts.slow_dials:
         return "backlog", (
             f"{facts.slow_dials} of {facts.dials} connections took over {truth.connect_ms:g} ms, "
--- a/elderlock/net/clients.py
+++ b/elderlock/net/clients.py
@@ -113,10 +113,10 @@
 def _number(values: dict[str, str], key: str, form: re.Pattern[str], least: float, most: float) -> float:
     text = values.get(key, "")
     if not form.fullmatch(text):
-        raise CommandError(f"'{key}' is missing or not a number")
+        raise CommandError(f"'{key}' is missing or not a number between {least:g} and {most:g}")
     number = float(text)
     if not least <= number <= most:
-        raise CommandError(f"'{key}' is out of range")
+        raise CommandError(f"'{key}' is out of range: between {least:g} and {most:g}")
     return number
 
 
--- a/tests/authz/test_door.py
+++ b/tests/authz/test_door.py
@@ -313,6 +313,7 @@
     run(test())
 
 
+@pytest.mark.alone
 def test_ten_thousand_streams_at_once_get_one_answer_each_within_the_bounds() -> None:
     """No more than the bound are undecided; the others are turned away at once, and nobody waits for ever."""
 
--- a/tests/control/test_socket.py
+++ b/tests/control/test_socket.py
@@ -268,7 +268,7 @@
     for n in range(1, 1001):
         times.add(float(n))
     for share in (0.1, 0.5, 0.99):
-        assert share * 1000 <= times.quantile(share) <= share * 1000 * 1.16
+        assert share * 1000 <= times.quantile(share) <= share * 1000 * 1.02
     for _ in range(100_000):
         times.add(1.0)
     assert times.quantile(0.9) < 2.0  # the recent past counts
