Find a stand-in's delays before its first request, so that it hides no wait of its own

The stand-in found its quantiles at the first request, some 0.3 s of work, and what came meanwhile waited in the socket, where its own record of delays did not see it. Its p99.9 also stood one value too high.

Change: the quantiles are found when the stand-in is made; percentiles of its record are the least value that such a share lies at or below.

--- a/elderlock/standins/delays.py
+++ b/elderlock/standins/delays.py
@@ -50,12 +50,17 @@
 
 
 def delays(spec: dict[str, Any], seed: int) -> Iterator[float]:
-    """ms, one a request; for no delay at all see `Target`."""
-    rng = random.Random(seed)
+    """ms, one a request; for no delay at all see `Target`. The quantiles are found before this returns: found at the
+    first request, they would hold up all that come in the meantime, and no figure of ours would show it."""
     strata = [quantile_of(spec, (n + 0.5) / STRATA) for n in range(STRATA)]
-    while True:
-        rng.shuffle(strata)
-        yield from strata
+
+    def drawn() -> Iterator[float]:
+        rng = random.Random(seed)
+        while True:
+            rng.shuffle(strata)
+            yield from strata
+
+    return drawn()
 
 
 class Target:
@@ -178,7 +183,8 @@
     await ended.wait()
     # what the delays were in truth: a machine that is short of cores makes them longer than they were meant
     took = sorted(value for target in targets for value in target.took)
-    print(json.dumps({share: took[min(len(took) - 1, int(share * len(took)))] / 1000.0 for share in TOLD if took}))
+    # the least value that such a share lies at or below, as histograms have it
+    print(json.dumps({share: took[max(0, math.ceil(share * len(took)) - 1)] / 1000.0 for share in TOLD if took}))
     for target in targets:
         await target.close()
 
