Use one reader of files, one address, one mix; decide what a request counts as beside the clients

A worker's memory was kept for every second of a run that is to stay flat, as were seconds behind.

Change: control/files.py reads operators' files for agents and limiters; the rest goes by what was there. reason() is in clientele.py with its cases.

--- a/elderlock/cli/load.py
+++ b/elderlock/cli/load.py
@@ -14,7 +14,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import msgspec
 
@@ -203,7 +203,7 @@
     addresses = list(options.target or read.targets.addresses)
     agents = [name for name in options.agents.split(",") if name]
     if options.group is not None or agents or not addresses:
-        group = group_of(options)
+        group = _group(options)
         if unknown := set(agents) - set(group.names):
             raise ScenarioError(f"the group has no agent {sorted(unknown)[0]}; it has {', '.join(group.names)}")
     try:
@@ -221,14 +221,10 @@
             group.close()
 
 
-def group_of(options: argparse.Namespace) -> Group:
-    path = options.group or os.environ.get("ELDERLOCK_GROUP")
-    if not path:
-        from elderlock.cli.main import the_group
+def _group(options: argparse.Namespace) -> Group:
+    from elderlock.cli.main import group_of
 
-        path = the_group()
-    token = options.token_file or os.environ.get("ELDERLOCK_TOKEN")
-    return Group.read(Path(path), Path(token) if token else None)
+    return cast(Group, group_of(options))
 
 
 async def _listens(group: Group) -> list[str]:
@@ -252,8 +248,7 @@
     from elderlock.cli.up import swept
 
     read = _scenario(options)
-    code = swept(lambda folder, mark: _up(options, read, folder, mark))
-    return code
+    return swept(lambda folder, mark: _up(options, read, folder, mark))
 
 
 async def _up(options: argparse.Namespace, read: Scenario, folder: Path, mark: str) -> int:
@@ -370,7 +365,7 @@
     plans = {}
     if options.plans is not None:
         plans = msgspec.json.decode(options.plans.read_bytes(), type=dict[str, str])
-    group, recorder = group_of(options), Recorder(plans)
+    group, recorder = _group(options), Recorder(plans)
     stop = asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
--- a/elderlock/cli/main.py
+++ b/elderlock/cli/main.py
@@ -183,7 +183,7 @@
             "undrain": commands.drain, "start": commands.order, "stop": commands.order,
             "audit": commands.audit,
         }  # fmt: skip
-        return _interruptible(work[options.command](options, _group(options)))
+        return _interruptible(work[options.command](options, group_of(options)))
     except FileError as error:
         print(f"elderlock: {error}", file=sys.stderr)
         return 2
@@ -205,7 +205,8 @@
         return 130
 
 
-def _group(options: argparse.Namespace) -> Any:
+def group_of(options: argparse.Namespace) -> Any:
+    """The group that the options name, or the environment, or the one that is up. Raises `FileError`."""
     from elderlock.fleet.client import Group
 
     path = options.group or os.environ.get("ELDERLOCK_GROUP")
--- a/elderlock/control/attach.py
+++ b/elderlock/control/attach.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import time
-import tomllib
 from collections.abc import Callable
 from importlib.metadata import PackageNotFoundError, version
 from pathlib import Path
@@ -15,6 +14,7 @@
 
 from elderlock.control import messages as m
 from elderlock.control.desk import Desk, Visitor
+from elderlock.control.files import read_toml
 from elderlock.control.records import Record
 from elderlock.control.transport import Bounds, Connection, FrameServer
 from elderlock.control.view import View, config_digests
@@ -44,13 +44,7 @@
 
 def read_operators(path: Path) -> OperatorsFile:
     """Raises `ConfigError` with one plain line."""
-    try:
-        with path.open("rb") as file:
-            return msgspec.convert(tomllib.load(file), OperatorsFile)
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError, UnicodeDecodeError) as error:
-        raise ConfigError(f"{path}: {error}") from None
+    return read_toml(path, OperatorsFile, ConfigError)
 
 
 def read_records(path: Path) -> tuple[Record, ...]:
--- a/elderlock/fleet/config.py
+++ b/elderlock/fleet/config.py
@@ -4,19 +4,19 @@
 
 import ipaddress
 import re
-import tomllib
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
+from elderlock.control.files import read_toml
+
 if TYPE_CHECKING:  # of the agent alone: commands that only read the group's file do not wait for it
     from elderlock.fleet.supervise import Policy
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 MOST_LENT = 64
 LONGEST_SOCKET = 100  # bytes of a Unix socket's path; the kernel takes 107
-T = TypeVar("T")
 
 
 class FileError(Exception):
@@ -110,16 +110,6 @@
     agent: tuple[MemberPart, ...] = ()
 
 
-def _read(path: Path, form: type[T]) -> T:
-    try:
-        with path.open("rb") as file:
-            return msgspec.convert(tomllib.load(file), form)
-    except OSError as error:
-        raise FileError(f"{path}: {error.strerror}") from None
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError, UnicodeDecodeError) as error:
-        raise FileError(f"{path}: {error}") from None
-
-
 def address(text: str) -> tuple[str, int]:
     """`host:port`, the host an IP address: no name is looked up. Raises `ValueError`."""
     host, found, port = text.rpartition(":")
@@ -143,7 +133,7 @@
 
 def read_agent(path: Path) -> AgentFile:
     """Paths in it count from the file's own folder. Raises `FileError`."""
-    file = _read(path, AgentFile)
+    file = read_toml(path, AgentFile, FileError)
     _names(path, "agent", [file.agent.name])
     _names(path, "limiter", [limiter.name for limiter in file.limiter])
     try:
@@ -175,7 +165,7 @@
 
 def read_group(path: Path) -> GroupFile:
     """Raises `FileError`."""
-    file = _read(path, GroupFile)
+    file = read_toml(path, GroupFile, FileError)
     if not file.agent:
         raise FileError(f"{path}: no [[agent]] is named")
     _names(path, "agent", [agent.name for agent in file.agent])
--- a/elderlock/load/accounts.py
+++ b/elderlock/load/accounts.py
@@ -8,22 +8,22 @@
 
 import random
 from bisect import bisect_right
-from dataclasses import dataclass
 from itertools import accumulate
 
+import msgspec
+
 ACCOUNTS = 1 << 33  # the protocol's: 16 hex digits below this
 GROUPS = ("calm", "heavy", "spiky")
 CALM, HEAVY, SPIKY = range(3)
 MOST_PROPOSED = 64  # of which nearly none is ever needed; the last one is taken then
 
 
-@dataclass(frozen=True, slots=True)
-class Mix:
+class Mix(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """`skew` is Zipf's exponent, 0 for equal shares. `heavy` and `spiky` are shares of the accounts; a heavy
     one has `heavy_times` its weight always, a spiky one `spike_times` for `spike_s` in every `spike_every_s`.
     Ranks move on by one account in `move_every_s` each; 0 is never."""
 
-    count: int
+    count: int = 100
     skew: float = 0.0
     heavy: float = 0.0
     heavy_times: float = 4.0
@@ -37,7 +37,7 @@
 class Population:
     """`names` are the accounts' numbers, all different; `groups` and `firsts` go with them."""
 
-    def __init__(self, mix: Mix, rng: random.Random, limiters: int, first_rank: int = 0) -> None:
+    def __init__(self, mix: Mix, rng: random.Random, limiters: int) -> None:
         self.mix = mix
         chosen: dict[int, None] = {}
         while len(chosen) < mix.count:
@@ -51,12 +51,11 @@
             self.groups[index] = HEAVY if place < heavy else SPIKY
         self._phases = [rng.random() * mix.spike_every_s if mix.spiky else 0.0 for _ in range(mix.count)]
         # the rank belongs to a place; which account stands there moves with time
-        base = [(first_rank + rank + 1) ** -mix.skew for rank in range(mix.count)]
+        base = [(rank + 1) ** -mix.skew for rank in range(mix.count)]
         self._top = max(1.0, mix.heavy_times if heavy else 1.0, mix.spike_times if spiky else 1.0)
         self._cumulative = list(accumulate(base))
         self._total = self._cumulative[-1]
         self._plain = not special
-        self._least = min(1.0, mix.spike_times) if spiky else 1.0
 
     def times(self, index: int, at: float) -> float:
         """How many times its rank's weight an account has at `at` s."""
--- a/elderlock/load/clientele.py
+++ b/elderlock/load/clientele.py
@@ -15,6 +15,15 @@
 AGAIN_AT_LEAST = 1.0  # ms that must be left of the deadline for a further try
 
 
+def reason(before: str, outcome: str, sent: bool, wrote: bool) -> str:
+    """What a request counts as, where its latest try ended so: how the last try that was sent ended, or why none
+    was. `sent`: any try was; `wrote`: this one was. One that was written, and whose connection ended with no answer
+    and could not be had anew, is lost."""
+    if outcome not in UNSENT or not sent:
+        return outcome
+    return "lost" if wrote else before
+
+
 @dataclass(frozen=True, slots=True)
 class Again:
     """Try once more after `wait` ms."""
--- a/elderlock/load/figures.py
+++ b/elderlock/load/figures.py
@@ -15,12 +15,13 @@
 from hdrh.histogram import HdrHistogram
 
 from elderlock.load.clientele import ANSWERS, OUTCOMES, UNANSWERED, UNSENT
-from elderlock.load.lateness import Span, judged
+from elderlock.load.lateness import Span, joined, judged
 from elderlock.load.messages import Interval
 from elderlock.load.scenario import Truth
 
 LEAST, MOST, DIGITS = 1, 3_600_000_000, 3  # µs: an hour
 EXACT_BITS = 11  # values below 2^11 µs are exact at three digits
+MOST_SPANS = 4096  # seconds behind that are kept apart; then neighbours become one
 MOST_BLOCKS = 512  # parts of a run that are kept apart; then two become one
 POINTS = ("p50", "p90", "p99", "p99.9", "max")
 
@@ -136,7 +137,7 @@
         self.shown: dict[str, str] = {}
         self.changes: list[tuple[float, int, bool]] = []
         self.open, self.open_sent = [0] * workers, [0] * workers
-        self.rss: list[list[int]] = [[] for _ in range(workers)]
+        self.rss: list[tuple[int, int, int]] = [(0, 0, 0)] * workers  # KiB: the first, the last, the most
         self.seen = [-1] * workers  # the last interval of each
         self.cpu_ms = [0.0] * workers
         self.offered = [0] * workers
@@ -157,6 +158,8 @@
         span = judged(worker, interval.start, interval.end, late, interval.facts, self.truth)
         if span is not None:
             self.spans.append(span)
+            if len(self.spans) > MOST_SPANS:
+                self.spans = joined(self.spans)
         spread, outcomes = Spread(), Counter[str]()
         for sample in interval.samples:
             key = (sample.outcome, sample.plan, sample.group, sample.target)
@@ -176,7 +179,8 @@
         self.shown |= interval.shown
         self.changes += interval.changes if worker == 0 else []
         self.open[worker], self.open_sent[worker] = interval.open, interval.open_sent
-        self.rss[worker].append(interval.rss_kb)
+        first, _, most = self.rss[worker]
+        self.rss[worker] = first or interval.rss_kb, interval.rss_kb, max(most, interval.rss_kb)
         self.cpu_ms[worker] += interval.facts.cpu_ms
         if interval.last:
             self.last.add(worker)
--- a/elderlock/load/rename.py
+++ b/elderlock/load/rename.py
@@ -10,7 +10,8 @@
 import hashlib
 from functools import lru_cache
 
-ACCOUNTS = 1 << 33
+from elderlock.load.accounts import ACCOUNTS
+
 HALF, MASK = 17, (1 << 17) - 1
 ROUNDS = 8
 LEAST_KEY = 16  # bytes
--- a/elderlock/load/report.py
+++ b/elderlock/load/report.py
@@ -80,14 +80,13 @@
     for name, place in (("all", None), ("outcome", 0), ("plan", 1), ("group", 2), ("target", 3)):
         by[name] = {key: _lines(pair.latency, pair.service) for key, pair in sorted(totals.by(place).items())}
     own = totals.counts["overdue"] + totals.outcomes().get("descriptors", 0) + max(0, ledger["missing"])
-    rss = [values for values in totals.rss if values]
     made = Report(
         VERSION, scenario.name, scenario.seed, began_at, lasted, totals.workers, scenario.targets.addresses, ledger,
         totals.outcomes(), dict(totals.counts), own / scheduled if scheduled else 0.0, by, totals.late.times(),
         totals.late.encoded(), joined(totals.spans), msgspec.structs.asdict(scenario.truth), totals.seconds,
         totals.blocks(), totals.changes, list(trouble), dict(totals.faults),
         [*notes, *(f"{key}: {text}" for key, text in totals.shown.items()), *wrong],
-        {"first": sum(v[0] for v in rss), "last": sum(v[-1] for v in rss), "most": sum(max(v) for v in rss)},
+        dict(zip(("first", "last", "most"), map(sum, zip(*totals.rss, strict=True)), strict=True)),
         sum(totals.cpu_ms) / 1000.0, [], 0,
     )  # fmt: skip
     made.failed = judged(made, (*scenario.fail_if, *fail_if))
--- a/elderlock/load/schedule.py
+++ b/elderlock/load/schedule.py
@@ -51,7 +51,7 @@
         self.seed, self.lasts = scenario.seed, scenario.for_s
         self.spread = min(self.stream.spread or min(MOST_SPREAD, limiters), limiters)
         names = stream_rng(self.seed, self.stream.name, "accounts")
-        self.population = Population(self.stream.accounts.mix(), names, limiters)
+        self.population = Population(self.stream.accounts, names, limiters)
 
     def __iter__(self) -> Iterator[Arrival]:
         stream: Stream = self.stream
--- a/elderlock/load/targets.py
+++ b/elderlock/load/targets.py
@@ -3,17 +3,7 @@
 
 from __future__ import annotations
 
-import ipaddress
 import random
-from collections.abc import Sequence
-
-
-def address(text: str) -> tuple[str, int]:
-    """`HOST:PORT`, the host an IP address: no name is looked up. Raises `ValueError`."""
-    host, found, port = text.rpartition(":")
-    if not found or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"{text!r} is not an address like 127.0.0.1:6379")
-    return str(ipaddress.ip_address(host.strip("[]"))), int(port)
 
 
 class Front:
@@ -44,14 +34,12 @@
             self.part[target] = part
             self.changes.append((now, target, part))
 
-    def choose(self, spread: int, first: int, rng: random.Random, but: Sequence[int] = ()) -> int | None:
-        """One of the set, not one of `but` where there is another; None where none takes part."""
+    def choose(self, spread: int, first: int, rng: random.Random) -> int | None:
+        """One of the set, where one of it takes part, else one of all; None where none does."""
         count = len(self.part)
         able = [m for m in ((first + n) % count for n in range(min(spread, count))) if self.part[m]]
         if not able:
             able = [m for m in range(count) if self.part[m]]
-        others = [m for m in able if m not in but] if but else able
-        able = others or able
         if not able:
             return None
         return able[0] if len(able) == 1 else able[int(rng.random() * len(able))]
--- a/elderlock/load/worker.py
+++ b/elderlock/load/worker.py
@@ -21,13 +21,14 @@
 import uvloop
 
 from elderlock.control.framing import FrameError, Framer, framed
+from elderlock.fleet.config import address
 from elderlock.load import messages as m
-from elderlock.load.clientele import FINAL, UNSENT, Again, Way
+from elderlock.load.clientele import FINAL, Again, Way, reason
 from elderlock.load.clock import Ticker, Watch, now_us
 from elderlock.load.lateness import Facts
 from elderlock.load.scenario import Scenario
 from elderlock.load.schedule import Arrival, schedule, share
-from elderlock.load.targets import Front, address
+from elderlock.load.targets import Front
 from elderlock.load.trace import Row, Source, TraceError, Writer
 from elderlock.load.wire import Pool, Request
 
@@ -273,11 +274,7 @@
         if request.timer is not None:
             request.timer.cancel()
             request.timer = None
-        if outcome not in UNSENT or not request.sent:
-            request.reason = outcome
-        elif request.wrote:
-            # written, its connection ended with no answer, and no new one came up to send it once more
-            request.reason = "lost"
+        request.reason = reason(request.reason, outcome, request.sent, request.wrote > 0)
         arrival, now = request.arrival, now_us()
         again: Again | None = None
         if outcome not in FINAL and not self._over:
--- a/elderlock/standins/delays.py
+++ b/elderlock/standins/delays.py
@@ -18,7 +18,8 @@
 import random
 import sys
 from array import array
-from collections.abc import Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager
 from typing import Any, cast
 
 import hiredis
@@ -168,6 +169,24 @@
         self._target.answer(lambda: self.write(reply))
 
 
+@asynccontextmanager
+async def apart(truth: dict[float, float] | None = None, **spec: Any) -> AsyncIterator[list[str]]:
+    """Such targets in a process of their own, by their addresses; `truth` gets the percentiles (ms) of the delays as
+    they were."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", __name__, json.dumps(spec), stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE
+    )
+    assert process.stdout is not None and process.stdin is not None
+    try:
+        yield [f"127.0.0.1:{port}" for port in (await process.stdout.readline()).decode().split()]
+    finally:
+        process.stdin.close()
+        said = await process.stdout.read()
+        if truth is not None:
+            truth.update({float(share): ms for share, ms in json.loads(said).items()})
+        await process.wait()
+
+
 async def _serve(spec: dict[str, Any]) -> None:
     seed = int(spec.get("seed", 1))
     targets = [await Target(spec, seed + n).start() for n in range(spec.get("ports", 1))]
--- a/tests/load/test_decisions.py
+++ b/tests/load/test_decisions.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from elderlock.control.messages import Counts, State
-from elderlock.load.clientele import OUTCOMES, Again, Way
+from elderlock.load.clientele import OUTCOMES, Again, Way, reason
 from elderlock.load.compare import compared
 from elderlock.load.figures import Spread, Totals, classed, decoded
 from elderlock.load.lateness import Facts, Span, joined, judged, quantile
@@ -47,6 +47,20 @@
         assert way.patience(1200.0, waited) <= 1200.0 - waited
 
 
+@pytest.mark.parametrize(
+    ("before", "outcome", "sent", "wrote", "counts_as"),
+    [
+        ("", "nowhere", False, False, "nowhere"), ("", "served", True, True, "served"),
+        ("refused", "timeout", True, True, "timeout"), ("refused", "nowhere", True, False, "refused"),
+        ("", "refused_connection", True, True, "lost"), ("nowhere", "descriptors", False, False, "descriptors"),
+    ],
+)  # fmt: skip
+def test_a_request_counts_as_its_last_try_that_was_sent(
+    before: str, outcome: str, sent: bool, wrote: bool, counts_as: str
+) -> None:
+    assert reason(before, outcome, sent, wrote) == counts_as
+
+
 def test_who_honours_come_back_waits_so_long_and_others_back_off() -> None:
     way = Way(Clients(retries=3, backoff="exp", backoff_ms=40, jitter=False, most_wait_ms=300))
     rng = random.Random(1)
