Let a worker that is behind go round its loop; judge two tests by what is promised

From a fresh clone on a slow machine two tests failed. test_more_than_a_worker_can_send...: INCOMPLETE where BEHIND was due. Cause: Worker._due sent all that was overdue in one turn of its loop (60,000 sends: one word to the coordinator, at the end, seen by the times at which its messages came), so a slow machine's worker was silent for over 10 s and given up as lost; none of the 60,000 was served, as no connection came up meanwhile. A test in one process counts the turns of the loop and fails without it.

test_ten_thousand_streams...: 100 DEADLINE_EXCEEDED where 50 are the bound. Checked: the door's bound holds at every moment (undecided never over 50); held questions ended by their own 2 s while all were still being asked, and the next fifty took their place, so the count told the machine's speed. Now they wait longer than the test lasts, and exactly 50 are decided.

The like, found by reading all tests for waits and rates: the ceiling over both doors went on for 2.5 s and wanted so many questions by then; now it goes on until they were asked.

--- a/elderlock/load/worker.py
+++ b/elderlock/load/worker.py
@@ -40,6 +40,7 @@
 BEAT = 0.01  # s between looks at whether the loop stands still
 MOST_TERMS = 4096  # lists of names and values kept ready
 END_EARLY = 5.0  # s beyond the longest deadline after which what is still open is ended
+AT_ONCE = 64  # overdue sends in one turn of the loop
 UINT32 = (1 << 32) - 1
 
 
@@ -185,7 +186,11 @@
     def _due(self) -> None:
         now = now_us()
         ahead, begun = self._ahead, self._begun
-        while ahead and begun + ahead[0][1].at <= now:
+        # a worker that is behind must not send on and on in one turn: it would read no answer, open no connection and
+        # tell nothing of its seconds till it had caught up, and be given up as lost (60,000 sends, 10 s of silence)
+        for _ in range(AT_ONCE):
+            if not ahead or begun + ahead[0][1].at > now:
+                break
             number, arrival = ahead.popleft()
             self._launch(number, arrival, begun + arrival.at, now)
             now = now_us()
--- a/tests/authz/test_door.py
+++ b/tests/authz/test_door.py
@@ -319,18 +319,21 @@
 
     async def test() -> None:
         bounds = Bounds(questions=50, streams=10_000)
-        async with doors(bounds=bounds) as here:
+        # a question waits longer than any machine takes to ask them all: one that ended by its time would make room
+        # for the next fifty, and how many end so would say how fast the machine is
+        async with doors(bounds=bounds, longest_ms=110_000.0) as here:
             held = hold(here)
-            calls = [asyncio.create_task(here.asking.word(f"q{n}", timeout=60.0)) for n in range(10_000)]
-            await until(lambda: sum(call.done() for call in calls) >= 9_000)
-            assert here.door.questions.undecided <= 50
+            calls = [asyncio.create_task(here.asking.word(f"q{n}", timeout=110.0)) for n in range(10_000)]
+            await until(lambda: sum(call.done() for call in calls) >= 10_000 - 50)
+            assert len(held) == here.door.questions.undecided == 50
             release(here, held)
             words = await asyncio.gather(*calls)
-            # what grpc itself turns away beyond its bound of calls ends as cancelled; where asking all of them
-            # takes longer than a question waits, those that were held end by their time
-            assert set(words) <= {200, 429, "RESOURCE_EXHAUSTED", "CANCELLED", "DEADLINE_EXCEEDED"}
-            assert words.count("DEADLINE_EXCEEDED") <= 50
-            await until(here.empty)  # unreported, what was permitted ends by its time
+            # what grpc itself turns away beyond its bound of calls ends as cancelled
+            assert set(words) <= {200, 429, "RESOURCE_EXHAUSTED", "CANCELLED"}
+            assert words.count(200) + words.count(429) == 50
+            for name in [f"q{n}" for n, word in enumerate(words) if word == 200]:
+                assert await here.asking.report(name)
+            await until(here.empty)
             client = await here.limiter.client()
             assert await client.ask("after") == b"value"
 
--- a/tests/authz/test_program.py
+++ b/tests/authz/test_program.py
@@ -129,6 +129,9 @@
     run(test(), within=60.0)
 
 
+UNITS = 4  # of each request
+
+
 @pytest.mark.parametrize("silent", [False, True], ids=["keepers heard", "keepers silent"])
 def test_both_doors_of_three_limiters_keep_one_ceiling_while_one_is_killed(silent: bool, tmp_path: Path) -> None:
     """What boxes got over RESP2 and what was permitted over gRPC, against the one store that refills."""
@@ -148,8 +151,8 @@
                 n = 0
                 while not stop.is_set():
                     n += 1
-                    asked += 1
-                    word = await asking.word(f"g{number}-{n}", timeout=2.0, **terms_of(0, 3, units=4))
+                    word = await asking.word(f"g{number}-{n}", timeout=2.0, **terms_of(0, 3, units=UNITS))
+                    asked += word in (200, 429)
                     if word == 200:
                         permitted.append(unix_ms())
                         await asking.report_any(f"g{number}-{n}")
@@ -162,12 +165,12 @@
                 n = 0
                 while not stop.is_set():
                     n += 1
-                    asked += 1
                     client.send("API.READ", ACCOUNT, f"r{number}-{lane}-{n}",
-                                terms(t="enterprise", units=4, spread=3, first=0))  # fmt: skip
+                                terms(t="enterprise", units=UNITS, spread=3, first=0))  # fmt: skip
                     answer = await client.answer()
                     if answer is None:
                         return
+                    asked += 1
                     served += isinstance(answer, bytes)
                     await asyncio.sleep(0.002)
 
@@ -177,15 +180,19 @@
             await until(lambda: asked > 200)
             assert made[2].process is not None
             made[2].process.kill()
-            await asyncio.sleep(2.5)  # how long the load goes on; nothing is proved by it
+
+            def ceiling() -> float:
+                took = (unix_ms() - began) / 1000.0
+                return float(ENTERPRISE["never-over-depth"] + ENTERPRISE["hard-rate"] * (took + 0.15))
+
+            # till the two that are left were asked for far more than the ceiling lets go, however fast that is
+            let, before = len(permitted) + served, asked
+            await until(lambda: asked > before + 200 and UNITS * asked > 2.0 * ceiling())
+            await until(lambda: len(permitted) + served > let + 5)
             stop.set()
             await asyncio.gather(*tasks, return_exceptions=True)
-            took = (unix_ms() - began) / 1000.0
             sent = {s.request for box in made[0].world.boxes.values() for s in box.sent}
-            units = 4.0 * (len(permitted) + len(sent))
-            ceiling = ENTERPRISE["never-over-depth"] + ENTERPRISE["hard-rate"] * (took + 0.15)
-            assert units <= ceiling + ENTERPRISE["hard-slack"], (len(permitted), len(sent), took)
-            assert 4.0 * asked > 2.0 * ceiling  # it was asked for far more
-            assert len(permitted) + served > 5
+            units = UNITS * (len(permitted) + len(sent))
+            assert units <= ceiling() + ENTERPRISE["hard-slack"], (len(permitted), len(sent))
 
     run(test(), within=90.0)
--- a/tests/load/test_runs.py
+++ b/tests/load/test_runs.py
@@ -216,7 +216,7 @@
     run(test())
 
 
-def test_more_than_a_worker_can_send_is_told_and_sent_all_the_same() -> None:
+def test_more_than_a_worker_can_send_is_told_and_offered_all_the_same() -> None:
     async def test() -> None:
         target = await Target({"kind": "none"}).start()
         made = await played([target.endpoint], "for_s=0.4", "stream.0.shape=[{kind='steady',rate=150000}]")
@@ -226,6 +226,36 @@
     run(test(), within=120.0)
 
 
+def test_a_worker_that_is_far_behind_still_reads_answers_and_tells_of_itself() -> None:
+    """All is overdue from the first moment on: its loop goes round all the same, some sixty sends a turn. One that sent
+    on and on was silent till it had caught up, and on a slow machine its coordinator gave it up as lost."""
+
+    async def test() -> None:
+        target = await Target({"kind": "none"}).start()
+        said: list[m.Message] = []
+        scenario = parse(TEXT, "test", [f"targets.addresses=['{target.endpoint}']", "stream.0.deadline_ms=60000"])
+        worker = Worker(m.Job(m.VERSION, scenario, 0, 1), said.append)
+        await worker.ready()
+        turns = 0
+
+        def turn() -> None:
+            nonlocal turns
+            turns += 1
+            if worker.counts["offered"] < 200:
+                worker.loop.call_soon(turn)
+
+        worker.loop.call_soon(turn)
+        worker.start(time.monotonic_ns() // 1000 - 10_000_000)
+        await worker.finished.wait()
+        assert turns >= 3, "it offered all in one turn of its loop"
+        intervals = [message for message in said if isinstance(message, m.Interval)]
+        assert sum(i.counts["offered"] for i in intervals if i.counts) == 200 and intervals[-1].last
+        await worker.close()
+        await target.close()
+
+    run(test())
+
+
 def test_a_worker_that_dies_takes_along_what_is_counted_as_missing() -> None:
     async def test() -> None:
         target = await Target({"kind": "none"}).start()
