Undo circles between files: one file for a command's group, the box's model under its stand-in

cli/load.py and cli/main.py named one another for group_of, which has a file of its own now. The simulated loop names the network by what it asks of it, and taps and surroundings name the world they look at, so that a world of real processes can use them too.

--- a/elderlock/cli/load.py
+++ b/elderlock/cli/load.py
@@ -222,7 +222,7 @@
 
 
 def _group(options: argparse.Namespace) -> Group:
-    from elderlock.cli.main import group_of
+    from elderlock.cli.group import group_of
 
     return cast(Group, group_of(options))
 
--- a/elderlock/cli/main.py
+++ b/elderlock/cli/main.py
@@ -185,6 +185,7 @@
 
         print(shtab.complete(parser(), options.shell))
         return 0
+    from elderlock.cli.group import group_of
     from elderlock.fleet.config import FileError
 
     try:
@@ -235,30 +236,6 @@
         return 130
 
 
-def group_of(options: argparse.Namespace) -> Any:
-    """The group that the options name, or the environment, or the one that is up. Raises `FileError`."""
-    from elderlock.fleet.client import Group
-
-    path = options.group or os.environ.get("ELDERLOCK_GROUP")
-    if not path:
-        path = the_group()
-    token = options.token_file or os.environ.get("ELDERLOCK_TOKEN")
-    return Group.read(Path(path), Path(token) if token else None)
-
-
-def the_group() -> str:
-    """The one that `elderlock up` runs here. Raises `FileError`."""
-    from elderlock.cli.running import groups
-    from elderlock.fleet.config import FileError
-
-    found = groups()
-    if not found:
-        raise FileError("no group: give --group FILE or set ELDERLOCK_GROUP; none is up here")
-    if len(found) > 1:
-        raise FileError(f"several groups are up here; set ELDERLOCK_GROUP to one of {', '.join(found)}")
-    return found[0]
-
-
 def _routing(agent: Any) -> Any:
     """The agent's door for questions over gRPC, where its file has one."""
     if agent.file.authz is None:
--- a/elderlock/sim/decisions.py
+++ b/elderlock/sim/decisions.py
@@ -23,7 +23,6 @@
 from elderlock.sim import judges as j
 from elderlock.sim.decision_faults import DecisionFaults
 from elderlock.sim.figures import Account, Result
-from elderlock.sim.models.boxes import BoxModel
 from elderlock.sim.models.counters import CounterModel
 from elderlock.sim.models.ways import Ways
 from elderlock.sim.nodes import Ask, Node, Open, SimBox, Try
@@ -34,6 +33,7 @@
 from elderlock.sim.traffic import arrivals
 from elderlock.sim.virtual.loop import DeadlockError, LivelockError
 from elderlock.sim.virtual.processes import Machine
+from elderlock.standins.model import BoxModel
 
 FLOOR = "decisions"
 START = 1_700_000_000_000.0  # ms, Unix time
--- a/elderlock/sim/nodes.py
+++ b/elderlock/sim/nodes.py
@@ -22,8 +22,8 @@
 from elderlock.quota.attach import HEARTBEAT, HEARTBEAT_EACH
 from elderlock.quota.counted import Counted
 from elderlock.quota.terms import Terms
-from elderlock.sim.models.boxes import BoxModel, Word, Work
 from elderlock.sim.virtual.processes import Machine
+from elderlock.standins.model import BoxModel, Word, Work
 
 if TYPE_CHECKING:
     from elderlock.sim.decisions import DecisionWorld
--- a/elderlock/sim/scenario.py
+++ b/elderlock/sim/scenario.py
@@ -17,8 +17,8 @@
 from elderlock.load import scenario as load
 from elderlock.load.accounts import Mix
 from elderlock.load.scenario import Clients, ScenarioError, Strict
-from elderlock.sim.models.boxes import Shape
 from elderlock.sim.models.ways import Delays
+from elderlock.standins.model import Shape
 
 FORMAT = 1  # of the models and of this file: a kept seed of another one no longer applies
 MOST_LIMITERS, MOST_BOXES = 2000, 50_000
@@ -108,7 +108,7 @@
 
 
 class BoxKind(Strict, frozen=True):
-    """A kind of box; boxes take the kinds in turn. See `elderlock.sim.models.boxes`."""
+    """A kind of box; boxes take the kinds in turn. See `elderlock.standins.model`."""
 
     name: str = "std-2c"
     cores: int = 2
--- a/elderlock/sim/shells.py
+++ b/elderlock/sim/shells.py
@@ -303,8 +303,11 @@
         process.on_exit.append(lambda: self.trace.event(self.at(), name, f"exit {process.exit_code}"))
         return process
 
-    def limiter_process(self, number: int) -> Process | None:
-        return self.limiters[number]
+    def incarnation(self, limiter: int) -> Process | None:
+        return self.limiters[limiter]
+
+    def lives(self, incarnation: Process | None) -> bool:
+        return incarnation is not None and incarnation.alive
 
     def _start_limiter(self, number: int) -> None:
         folder = self.folder / f"o{number}"
--- a/elderlock/sim/surroundings.py
+++ b/elderlock/sim/surroundings.py
@@ -2,20 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from elderlock.standins.boxes import Box, Sent
 from elderlock.standins.discovery import Discovery
 
-if TYPE_CHECKING:
-    from elderlock.sim.shells import ShellWorld
+
+class Reached(Protocol):
+    """Who hears that work has come to a box."""
+
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop: ...
+    def reached(self, box: str, request: str) -> None: ...
 
 
 class ShellBox(Box):
     """Tells the world what came."""
 
-    world: ShellWorld
+    world: Reached
 
     def took(self, sent: Sent, command: list[bytes]) -> None:
         self.world.reached(self.uid, command[2].decode())
@@ -24,7 +30,7 @@
 class Listing:
     """Discovery as each limiter's agent tells it: late, stale, flapping, listing the dead."""
 
-    def __init__(self, world: ShellWorld) -> None:
+    def __init__(self, world: Reached) -> None:
         self.world = world
         self.discovery = Discovery(rows=self.rows)
         self.boxes: dict[str, ShellBox] = {}
--- a/elderlock/sim/taps.py
+++ b/elderlock/sim/taps.py
@@ -3,22 +3,47 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import hiredis
 
 from elderlock.standins.boxes import MISSING
 
-if TYPE_CHECKING:
-    from elderlock.sim.shells import ShellWorld
+
+class Hears(Protocol):
+    """The judges, or a recorder that keeps what they shall hear."""
+
+    asked: Any
+    answered: Any
+    excused: Any
+    failure: Any
+
+
+class Scene(Protocol):
+    """The world round the wire, simulated or of real processes."""
+
+    @property
+    def bench(self) -> Hears: ...
+    @property
+    def broke_streams(self) -> bool:
+        """Connections break from outside, without their limiter's doing."""
+
+    def at(self) -> float:
+        """ms of the run."""
+
+    def incarnation(self, limiter: int) -> Any:
+        """Its process of this moment; None while it has none."""
+
+    def lives(self, incarnation: Any) -> bool: ...
+    def let_go(self, limiter: str, box: str, request: str, account: str, terms: bytes) -> None: ...
 
 
 class ClientTap:
     """A client's end of a connection to a limiter: requests out, answers in, in their order."""
 
-    def __init__(self, world: ShellWorld, limiter: int) -> None:
+    def __init__(self, world: Scene, limiter: int) -> None:
         self._world, self._limiter = world, limiter
-        self.process = world.limiter_process(limiter)
+        self.process = world.incarnation(limiter)
         self._out = hiredis.Reader(notEnoughData=MISSING)
         self._in = hiredis.Reader(notEnoughData=MISSING)
         self._owed: deque[str] = deque()
@@ -50,7 +75,7 @@
     def closed(self, by_us: bool) -> None:
         if by_us:
             why = "its client went away"
-        elif self.process is None or not self.process.alive or self._world.broke_streams:
+        elif not self._world.lives(self.process) or self._world.broke_streams:
             why = "its limiter was killed, or its connection broken from outside"
         else:
             return  # a request that crossed the end of its connection is sent once more, by the client
@@ -70,7 +95,7 @@
 class SendTap:
     """A limiter's end of a connection to a box: what it lets go, as it writes it."""
 
-    def __init__(self, world: ShellWorld, limiter: str, box: str) -> None:
+    def __init__(self, world: Scene, limiter: str, box: str) -> None:
         self._world, self._limiter, self._box = world, limiter, box
         self._out = hiredis.Reader(notEnoughData=MISSING)
 
--- a/elderlock/sim/virtual/loop.py
+++ b/elderlock/sim/virtual/loop.py
@@ -15,13 +15,10 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from contextvars import Context
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from elderlock.sim.virtual.processes import CURRENT
 
-if TYPE_CHECKING:
-    from elderlock.sim.virtual.network import Network
-
 EPOCH = 1_700_000_000.0  # s, Unix time at which a simulated clock shows START
 START = 10_000.0  # s, of the monotonic clock
 MOST_STEPS = 300_000  # turns of the loop in which time stood still
@@ -40,6 +37,16 @@
     """Time does not move."""
 
 
+class Wires(Protocol):
+    """The network that the loop's transports belong to."""
+
+    def listen(self, factory: Callable[[], Any], host: str, port: int, backlog: int = 100) -> Any: ...
+    def listen_unix(self, factory: Callable[[], Any], path: str, backlog: int = 100) -> Any: ...
+    async def connect(self, factory: Callable[[], Any], host: str, port: int) -> Any: ...
+    async def connect_unix(self, factory: Callable[[], Any], path: str) -> Any: ...
+    def datagrams(self, factory: Callable[[], Any], local: Any, remote: Any) -> Any: ...
+
+
 class _Jump:
     """In the selector's place: waiting is a jump of the clock."""
 
@@ -67,7 +74,7 @@
         self._ties = random.Random(f"ties/{ties}") if ties is not None else None
         self._still = 0
         self._last = 0.0
-        self.network: Network | None = None
+        self.network: Wires | None = None
         self.failures: list[str] = []  # what the loop was told of, as "process: what"
         self.failed: list[tuple[str, BaseException]] = []
         self.over = False  # what is collected after the end may still call
--- a/elderlock/standins/boxes.py
+++ b/elderlock/standins/boxes.py
@@ -10,8 +10,8 @@
 
 import hiredis
 
-from elderlock.sim.models.boxes import BoxModel, Shape, Word, Work
 from elderlock.standins.listener import Door, Listener
+from elderlock.standins.model import BoxModel, Shape, Word, Work
 from elderlock.standins.waiting import unix_ms
 
 Answer = bytes | None
@@ -106,7 +106,7 @@
 
 
 class Box(Listener):
-    """A lookup box: `elderlock.sim.models.boxes` behind sockets.
+    """A lookup box: `elderlock.standins.model` behind sockets.
 
     `sent` is the record of what reached it, which tests and benchmarks hold against what tools claim.
     """
--- a/tests/sim/test_search.py
+++ b/tests/sim/test_search.py
@@ -21,7 +21,6 @@
 from elderlock.sim import decisions, schedule, search, seeds, shells
 from elderlock.sim import judges as j
 from elderlock.sim.grammar import MOST_REMOVED, Grammar, shrink
-from elderlock.sim.models.boxes import BoxModel
 from elderlock.sim.scenario import (
     FORMAT,
     Fault,
@@ -36,6 +35,7 @@
 )
 from elderlock.sim.seeds import NoLongerAppliesError, Seed, SeedError
 from elderlock.sim.trace import Trace, first_difference
+from elderlock.standins.model import BoxModel
 
 KEPT = Path(__file__).parent / "seeds"
 BASE = of_load(0.4, Scenario("search", lasts_s=4.0, warm_s=0.5, rest_s=2.0, boxes=6, agents=1))
