Let the simulated shells' judges hear discovery's lists: drains and cold boxes were judged deaf

Seen while the taps were made fit for real processes: on the shells' floor the world overrode Gateway.listing, a name that the gateway does not call (sim/shells.py), so no list was ever told to the judges of drains and of cold boxes there, and a build that keeps sending to drained boxes passed. Builds with a known fault stand in trial/flaws.py, for both floors.

--- a/elderlock/cli/up.py
+++ b/elderlock/cli/up.py
@@ -19,7 +19,6 @@
 
 import uvloop
 
-from elderlock.cli.guard import MARK
 from elderlock.cli.running import PREFIX
 from elderlock.fleet.client import Group
 from elderlock.fleet.operate import see
@@ -27,6 +26,7 @@
 from elderlock.fleet.seen import Seen
 from elderlock.standins.front import Front
 from elderlock.standins.world import OPERATORS, ROOT, World
+from elderlock.trial.guard import MARK
 
 READY_WITHIN = 30.0  # s
 AGENT_AGAIN = 0.5  # s before an agent that died is started again
@@ -41,7 +41,7 @@
     folder = Path(tempfile.mkdtemp(prefix=PREFIX))
     mark = secrets.token_hex(8)
     guard = subprocess.Popen(
-        [sys.executable, "-B", "-m", "elderlock.cli.guard", str(folder)], stdin=subprocess.PIPE, cwd=ROOT,
+        [sys.executable, "-B", "-m", "elderlock.trial.guard", str(folder)], stdin=subprocess.PIPE, cwd=ROOT,
         env={**os.environ, MARK: mark}, start_new_session=True,
     )  # fmt: skip
     try:
--- a/elderlock/fleet/host.py
+++ b/elderlock/fleet/host.py
@@ -47,14 +47,25 @@
         return Store(path)
 
     def write_private(self, path: Path, data: bytes) -> None:
-        """Whole or not at all, also over a crash. Raises `OSError`."""
+        """Whole or not at all, also over a crash; after a power loss it may be the one before, as its folder is not
+        synced: what has to be the last one is kept in the store. Raises `OSError`."""
         path.parent.mkdir(mode=0o700, parents=True, exist_ok=True)
         beside = path.with_name(path.name + ".new")
         with open(beside, "wb", opener=lambda name, flags: os.open(name, flags, 0o600)) as file:
             file.write(data)
             file.flush()
+            self.written(beside)
             os.fsync(file.fileno())
+        self.synced(beside, path, data)
         beside.replace(path)
+        self.renamed(path)
+
+    def written(self, beside: Path) -> None:
+        """A step of `write_private` is over: here and below, for hosts that fail or die between two."""
+
+    def synced(self, beside: Path, path: Path, data: bytes) -> None: ...
+
+    def renamed(self, path: Path) -> None: ...
 
     def born(self, pid: int) -> int:
         """When the process started; 0 where none lives under that pid."""
--- a/elderlock/sim/decision_faults.py
+++ b/elderlock/sim/decision_faults.py
@@ -46,6 +46,22 @@
                 self._peers(fault)
             case "clients":
                 self._clients(fault)
+            case "house":
+                for each in range(world.scenario.floors):
+                    self._power(floor_name(each))
+
+    def _power(self, floor: str) -> None:
+        """All that runs on that floor is gone at once; boxes come back cold."""
+        world = self.world
+        for number, machine in enumerate(world.machines):
+            if machine.floor == floor:
+                world.kill(number)
+        lost = Fault(0.0, "power", "agent:0")
+        for number, agent in enumerate(world.agents):
+            if agent.machine.floor == floor:
+                self._agent(lost, number)
+        for box in [box for box in world.boxes.values() if box.machine.floor == floor]:
+            self._box(Fault(0.0, "restart", "box:0"), box)
 
     def _for(self, fault: Fault, end: Callable[..., Any], *args: Any) -> None:
         if fault.for_s > 0:
@@ -115,7 +131,7 @@
         world, by = self.world, by_of(fault)
         machine = world.machines[number]
         match fault.what:
-            case "kill" | "term":
+            case "kill" | "term" | "power":
                 world.kill(number)
             case "pause":
                 world.pause(number, fault.for_s * 1000.0 or by)
@@ -134,7 +150,7 @@
     def _agent(self, fault: Fault, number: int) -> None:
         agent = self.world.agents[number]
         match fault.what:
-            case "kill" | "term":
+            case "kill" | "term" | "power":
                 agent.alive = False
                 self.world.schedule.after(700.0, setattr, agent, "alive", True)
             case "pause":
@@ -158,6 +174,8 @@
             case "late":
                 ways.slow[floor] = ways.slow.get(floor, 0.0) + by_of(fault)
                 self._for(fault, ways.slow.pop, floor, None)
+            case "power":
+                self._power(floor)
             case "restart" | "silent":
                 for box in [box for box in self.world.boxes.values() if box.machine.floor == floor]:
                     self._box(fault, box)
--- a/elderlock/sim/grammar.py
+++ b/elderlock/sim/grammar.py
@@ -11,14 +11,18 @@
 
 import msgspec
 
-from elderlock.sim.scenario import ABLE, ONLY_SHELLS, Fault, Scenario
+from elderlock.sim.scenario import ABLE, ONLY_SHELLS, ONLY_TRIAL, Fault, Scenario
 
 RANGES: dict[str, tuple[float, float]] = {
     "slow": (2.0, 20.0), "errs": (0.1, 1.0), "loss": (0.02, 0.4), "late": (10.0, 400.0), "pause": (100.0, 2500.0),
     "clock": (-10_000.0, 10_000.0), "rush": (30.0, 400.0), "silent-clients": (20.0, 300.0),
-    "hoard": (0.1, 1.0),
+    "hoard": (0.1, 1.0), "duplicate": (0.05, 0.8), "reorder": (5.0, 300.0), "trickle": (500.0, 20_000.0),
+    "disk-slow": (20.0, 800.0),
 }  # fmt: skip
-ENDLESS = frozenset({"kill", "term", "clock", "restart", "remove", "empty", "lies", "op-undrain"})
+ENDLESS = frozenset({
+    "kill", "term", "clock", "restart", "remove", "empty", "lies", "op-undrain", "power", "old-state", "no-state",
+    "kill-write", "kill-sync", "kill-rename", "reset", "half-close",
+})  # fmt: skip
 KEPT = 64  # schedules that showed something new, to be varied
 VARIED = 0.6  # share of tries that vary one of them
 MOST_REMOVED = 0.3  # of the boxes: with fewer left there is nothing to be learnt
@@ -38,7 +42,11 @@
             for what in sorted(able):
                 if what.startswith("op-") and not s.agents:
                     continue
-                if floor == "decisions" and (what in ONLY_SHELLS or what in ("silent-clients", "hoard")):
+                if floor == "decisions" and (
+                    kind == "way" or what in ONLY_SHELLS or what in ("silent-clients", "hoard")
+                ):
+                    continue
+                if floor != "trial" and what in ONLY_TRIAL:
                     continue
                 self._choices.append((kind, what))
         self._counts = counts
@@ -54,7 +62,15 @@
             by = round(rng.uniform(*RANGES[what]), 2)
         return Fault(round(when, 3), what, self._target(kind, rng), lasts, by)  # type: ignore[arg-type]
 
+    def _end(self, rng: random.Random) -> str:
+        kinds = ["box", "limiter", "limiter", "discovery", *(["agent"] if self._scenario.agents else [])]
+        kind = rng.choice(kinds)
+        return kind if kind == "discovery" else f"{kind}:{rng.randrange(self._counts[kind])}"
+
     def _target(self, kind: str, rng: random.Random) -> str:
+        if kind == "way":
+            ends = (self._end(rng), f"limiter:{rng.randrange(self._scenario.limiters)}")
+            return "way:{}>{}".format(*(ends if rng.random() < 0.5 else ends[::-1]))
         count = self._counts.get(kind)
         if count is None:
             return kind
--- a/elderlock/sim/judges.py
+++ b/elderlock/sim/judges.py
@@ -36,6 +36,7 @@
     window: float = 1000.0
     cold_share: float = 0.24
     cold_ms: float = 4000.0
+    instant: float = 5.0  # in which a box may still get what was being written when its drain came into force
     told_share: float = 2.0 / 3.0  # of a cold box's work that must come from limiters that had heard of its start
 
 
@@ -282,20 +283,20 @@
 
 class Reports(Judge):
     """A drain's report is honest: once a tool has said that a limiter sends a box no more, it does not; what was being
-    written in that instant is the last (5 ms)."""
+    written in that `instant` is the last."""
 
     name = "drain reported as it is"
-    INSTANT = 5.0
 
     def __init__(self, rules: Rules) -> None:
         super().__init__()
+        self._instant = rules.instant
         self._claims: dict[tuple[str, str], float] = {}
         self._last: dict[tuple[str, str], float] = {}
 
     def claimed(self, at: float, operator: str, target: str, limiter: str, since: float) -> None:
         key = (limiter, target)
         self._claims.setdefault(key, since)
-        if self._last.get(key, -1e18) > since + self.INSTANT:
+        if self._last.get(key, -1e18) > since + self._instant:
             late = self._last[key] - since
             self.breaks(at, f"{operator} was told that {limiter} sends {target} no more, {late:.0f} ms before it did")
 
@@ -307,7 +308,7 @@
         key = (limiter, box)
         self._last[key] = at
         since = self._claims.get(key)
-        if since is not None and at > since + self.INSTANT:
+        if since is not None and at > since + self._instant:
             self.breaks(at, f"{limiter} sent {request} to {box}, which its operator was told is drained there")
 
 
--- a/elderlock/sim/models/ways.py
+++ b/elderlock/sim/models/ways.py
@@ -47,6 +47,8 @@
         self.delays, self._rng = delays, rng
         self._cuts: dict[tuple[str, str], int] = {}
         self.slow: dict[str, float] = {}  # ms more on each way to or from that machine or floor
+        self.slower: dict[tuple[str, str], float] = {}  # ms more from that machine to that one
+        self.lossy: dict[tuple[str, str], float] = {}  # share of its datagrams that are lost besides
         self.loss = delays.loss
         self.datagram_loss = delays.datagram_loss
         self.healed: Callable[[], None] | None = None
@@ -60,6 +62,8 @@
             way *= d.tail_by
         if self.slow and here.floor and there.floor:
             way += sum(self.slow.get(name, 0.0) for name in (here.name, there.name, here.floor, there.floor))
+        if self.slower:
+            way += self.slower.get((here.name, there.name), 0.0)
         return way
 
     def cut(self, here: Place, there: Place) -> bool:
@@ -76,7 +80,8 @@
         return self._rng.random() < self.loss
 
     def datagram_lost(self, here: Place, there: Place) -> bool:
-        return here is not there and self._rng.random() < self.datagram_loss + self.loss
+        more = self.lossy.get((here.name, there.name), 0.0) if self.lossy else 0.0
+        return here is not there and self._rng.random() < self.datagram_loss + self.loss + more
 
     def doubled(self) -> bool:
         return self._rng.random() < self.delays.double
--- a/elderlock/sim/scenario.py
+++ b/elderlock/sim/scenario.py
@@ -30,29 +30,47 @@
     "slow", "errs", "silent", "refusing", "restart", "pause", "drain", "remove", "lies", "kill", "term", "clock",
     "cut", "cut-to", "cut-from", "loss", "late", "empty", "restored", "busy", "stale", "flap", "dead",
     "disk-full", "disk-error", "op-drain", "op-undrain", "stop", "start", "rush", "silent-clients",
-    "hoard",
+    "hoard", "power", "disk-slow", "disk-lies", "old-state", "no-state", "kill-write", "kill-sync", "kill-rename",
+    "duplicate", "reorder", "trickle", "reset", "half-close",
 ]  # fmt: skip
 ABLE: dict[str, frozenset[str]] = {
     "box": frozenset(
         {"slow", "errs", "silent", "refusing", "restart", "pause", "drain", "remove", "lies", "op-drain", "op-undrain"}
     ),
-    "limiter": frozenset({"kill", "term", "pause", "clock", "cut", "cut-to", "cut-from", "op-drain", "op-undrain"}),
-    "agent": frozenset({"kill", "term", "pause", "clock", "cut", "disk-full", "disk-error"}),
-    "floor": frozenset({"cut", "cut-to", "cut-from", "loss", "late", "restart", "silent"}),
+    "limiter": frozenset(
+        {"kill", "term", "pause", "clock", "cut", "cut-to", "cut-from", "op-drain", "op-undrain", "power"}
+    ),
+    "agent": frozenset({
+        "kill", "term", "pause", "clock", "cut", "disk-full", "disk-error", "disk-slow", "disk-lies", "power",
+        "old-state", "no-state", "kill-write", "kill-sync", "kill-rename",
+    }),
+    "floor": frozenset({"cut", "cut-to", "cut-from", "loss", "late", "restart", "silent", "power"}),
+    "house": frozenset({"power"}),
+    "way": frozenset({"cut", "late", "loss", "duplicate", "reorder", "trickle", "reset", "half-close"}),
     "counter": frozenset({"silent", "refusing", "empty", "restored", "busy", "late"}),
     "discovery": frozenset({"silent", "refusing", "stale", "late", "flap", "dead"}),
     "peers": frozenset({"silent", "loss", "late"}),
     "clients": frozenset({"rush", "silent-clients", "hoard"}),
 }
-ONLY_SHELLS = frozenset({"term", "disk-full", "disk-error", "refusing"})
-TARGET = re.compile(r"(box|limiter|agent|floor):(\*|\d{1,6}(?:-\d{1,6})?)|(counter|discovery|peers|clients)")
+ONLY_SHELLS = frozenset({"term", "disk-full", "disk-error", "refusing", "reset"})
+ONLY_TRIAL = frozenset({
+    "disk-slow", "disk-lies", "old-state", "no-state", "kill-write", "kill-sync", "kill-rename", "duplicate", "reorder",
+    "trickle", "half-close",
+})  # fmt: skip
+END = r"(?:(?:box|limiter|agent):\d{1,6}|counter|discovery|clients|tool)"
+WAY = re.compile(rf"way:({END})>({END})")
+TARGET = re.compile(
+    r"(box|limiter|agent|floor):(\*|\d{1,6}(?:-\d{1,6})?)|(counter|discovery|peers|clients|house)|" + WAY.pattern
+)
 
 
 class Fault(Strict, frozen=True):
     """`at_s` after the start, for `for_s` (0: what it does cannot end, or it stays to the end). `by`: times for slow, a
     share for errs and loss, ms for late, pause and clock, requests a second more for rush, connections a second for
-    silent-clients, the share of clients that ask once and keep their connection for good for hoard. `target`: `box:3`,
-    `box:0-4`, `box:*`, `limiter:1`, `agent:0`, `floor:1`, `counter`, `discovery`, `peers`, `clients`."""
+    silent-clients, the share of clients that ask once and keep their connection for good for hoard, ms of disorder for
+    reorder, bytes a second for trickle, ms for disk-slow. `target`: `box:3`, `box:0-4`, `box:*`, `limiter:1`,
+    `agent:0`, `floor:1`, `house` (all of it), `counter`, `discovery`, `peers`, `clients`, or `way:limiter:0>box:3`, the
+    way from one to another and not the way back; `tool` is an operator's command there."""
 
     at_s: float
     what: What
@@ -71,6 +89,12 @@
         first, _, last = which.partition("-")
         return range(min(int(first), count), min(int(last or first) + 1, count))
 
+    def ends(self) -> tuple[str, str]:
+        """Of a `way:`: whence and whither."""
+        found = WAY.fullmatch(self.target)
+        assert found is not None
+        return found[1], found[2]
+
     def text(self) -> str:
         """A line for people."""
         words = f"{self.at_s:8.3f} s  {self.target:<12} {self.what}"
@@ -80,7 +104,7 @@
 
 DEFAULT_BY: dict[str, float] = {
     "slow": 5.0, "errs": 0.5, "loss": 0.1, "late": 100.0, "pause": 500.0, "clock": 2000.0, "rush": 100.0,
-    "silent-clients": 50.0, "hoard": 0.5,
+    "silent-clients": 50.0, "hoard": 0.5, "duplicate": 0.2, "reorder": 50.0, "trickle": 2000.0, "disk-slow": 200.0,
 }  # fmt: skip
 
 
@@ -292,17 +316,36 @@
     """Raises `ScenarioError`."""
     if TARGET.fullmatch(fault.target) is None:
         raise ScenarioError(
-            f"{where}: {fault.target!r} is no target: box:N, box:N-M, box:*, limiter:N, agent:N, floor:N, counter, "
-            "discovery, peers, clients"
+            f"{where}: {fault.target!r} is no target: box:N, box:N-M, box:*, limiter:N, agent:N, floor:N, house, "
+            "counter, discovery, peers, clients, way:A>B with A and B box:N, limiter:N, agent:N, counter, discovery, "
+            "clients or tool"
         )
     able = ABLE[fault.kind()]
     if fault.what not in able:
         raise ScenarioError(f"{where}: {fault.target} cannot be made {fault.what}; it can be {', '.join(sorted(able))}")
     load.bounds(where, at_s=(fault.at_s, 0, lasts), for_s=(fault.for_s, 0, LONGEST_S), by=(fault.by, -1e6, 1e6))
-    if fault.what in ("errs", "loss", "hoard") and not 0 <= fault.by <= 1:
+    if fault.what in ("errs", "loss", "hoard", "duplicate") and not 0 <= fault.by <= 1:
         raise ScenarioError(f"{where}: by is {fault.by:g}, a share lies between 0 and 1")
 
 
+def unplayable(scenario: Scenario, floor: str) -> list[str]:
+    """What of its faults that floor (shells, decisions or trial) cannot play, each with why, for people."""
+    found = []
+    for fault in scenario.fault:
+        why = ""
+        if floor != "trial" and fault.what in ONLY_TRIAL:
+            why = "real files and real wires alone show that"
+        elif floor == "decisions" and (fault.what in ONLY_SHELLS or fault.kind() == "way"):
+            why = "there are no processes, files and connections on this floor"
+        elif floor == "decisions" and fault.what in ("silent-clients", "hoard", "clock"):
+            why = "there are no connections and no machine's clocks on this floor"
+        elif floor == "trial" and fault.kind() == "floor" and fault.what == "loss":
+            why = "a relay passes streams whole: lose datagrams by peers or by way"
+        if why:
+            found.append(f"{fault.target} {fault.what} at {fault.at_s:g} s: {why}")
+    return found
+
+
 def by_of(fault: Fault) -> float:
     return fault.by or DEFAULT_BY.get(fault.what, 0.0)
 
--- a/elderlock/sim/shell_faults.py
+++ b/elderlock/sim/shell_faults.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from typing import TYPE_CHECKING, Any
 
 from elderlock.fleet.client import Group
@@ -12,6 +13,7 @@
 from elderlock.sim.scenario import Fault, by_of, cut_pairs, floor_name
 from elderlock.sim.surroundings import ShellBox
 from elderlock.sim.virtual.loop import EPOCH
+from elderlock.sim.virtual.network import Stream
 from elderlock.sim.virtual.processes import start
 from elderlock.standins.listener import Fault as Breaks
 
@@ -61,6 +63,58 @@
                 await self._peers_fault(fault)
             case "clients":
                 await self._clients_fault(fault)
+            case "house":
+                await self._power([machine.name for machine in self.world.machines], list(self.world.listing.boxes))
+            case "way":
+                self._way_fault(fault)
+
+    async def _power(self, machines: Sequence[str], boxes: Sequence[str]) -> None:
+        """All that runs there is gone at once. What was written stays: this floor's disks take each write at once."""
+        for process in list(self.world.processes.values()):
+            if process.alive and process.machine.name in machines:
+                self.world.signal(process, signal.SIGKILL)
+        restart = Fault(0.0, "restart", "box:0")
+        for uid in boxes:
+            await self._box_fault(restart, self.world.listing.boxes.get(uid))
+
+    def _machine_of(self, end: str) -> str:
+        """The machine at that end of a way; all that runs on it shares what befalls the way."""
+        kind, _, number = end.partition(":")
+        match kind:
+            case "limiter":
+                return self.world.machines[min(int(number), len(self.world.machines) - 1)].name
+            case "agent":
+                return self.world.agent_machine(min(int(number), self.world.scenario.agents - 1)).name
+            case "box":
+                uids = list(self.world.listing.boxes)
+                return uids[min(int(number), len(uids) - 1)]
+            case "tool":
+                return self.world.agent_machine(0).name
+            case "clients":
+                return self.world.network.world.name
+        return end
+
+    def _way_fault(self, fault: Fault) -> None:
+        ways, by = self.world.ways, by_of(fault)
+        source, target = (self._machine_of(end) for end in fault.ends())
+        pair = (source, target)
+        match fault.what:
+            case "cut":
+                ways.separate([pair])
+                self._for(fault, lambda: ways.join([pair]))
+            case "late":
+                ways.slower[pair] = by
+                self._for(fault, lambda: ways.slower.pop(pair, None))
+            case "loss":
+                ways.lossy[pair] = by
+                self._for(fault, lambda: ways.lossy.pop(pair, None))
+            case "reset":
+                if "clients" in fault.ends():
+                    self.world.broke_streams = True
+                for process in list(self.world.processes.values()):
+                    for held in list(process.holds) if process.alive else ():
+                        if isinstance(held, Stream) and {held.machine.name, held.peer.machine.name} == {source, target}:
+                            held._break(ConnectionResetError(errno.ECONNRESET, "reset"))
 
     def _for(self, fault: Fault, end: Callable[[], Any]) -> None:
         if fault.for_s > 0:
@@ -163,6 +217,8 @@
                 machine.offset += by
             case "cut" | "cut-to" | "cut-from":
                 self._cut(fault, machine.name, [*self.world.scenario.floor_names(), "discovery"])
+            case "power" if process is not None:
+                self.world.signal(process, signal.SIGKILL)
             case "op-drain" | "op-undrain":
                 await self._command(fault, "limiter", f"n{number}")
 
@@ -175,7 +231,7 @@
         process = self.world.agent_processes[number]
         machine = self.world.agent_machine(number)
         match fault.what:
-            case "kill":
+            case "kill" | "power":
                 self.world.signal(process, signal.SIGKILL)
             case "term":
                 self.world.signal(process, signal.SIGTERM)
@@ -201,6 +257,10 @@
             case "late":
                 self.world.ways.slow[floor] = self.world.ways.slow.get(floor, 0.0) + by_of(fault)
                 self._for(fault, lambda: self.world.ways.slow.pop(floor, None))
+            case "power":
+                machines = [machine.name for machine in self.world.machines if machine.floor == floor]
+                boxes = [uid for uid, box in self.world.listing.boxes.items() if box.floor == floor]
+                await self._power(machines, boxes)
             case "restart" | "silent":
                 for box in [box for box in self.world.listing.boxes.values() if box.floor == floor]:
                     await self._box_fault(fault, box)
--- a/elderlock/sim/shells.py
+++ b/elderlock/sim/shells.py
@@ -23,18 +23,19 @@
 import elderlock.__main__ as program
 from elderlock.decisions.outliers import Outliers
 from elderlock.fleet import agent as agents
-from elderlock.interface import ListKind, ServerState
+from elderlock.interface import ServerState
 from elderlock.load.wire import Request
 from elderlock.net.config import ConfigError, load
 from elderlock.net.gateway import Gateway
 from elderlock.net.targets import TargetList
 from elderlock.sim import judges as j
 from elderlock.sim.clients import Clients
+from elderlock.sim.facts import operators_of, settings_of, talks
 from elderlock.sim.figures import Account, Result
 from elderlock.sim.models.ways import Ways
 from elderlock.sim.scenario import Scenario, floor_name
 from elderlock.sim.shell_faults import ShellFaults
-from elderlock.sim.surroundings import Listing, ShellBox
+from elderlock.sim.surroundings import ShellBox
 from elderlock.sim.taps import ClientTap, SendTap
 from elderlock.sim.trace import Trace
 from elderlock.sim.traffic import arrivals
@@ -45,14 +46,13 @@
 from elderlock.sim.virtual.system import simulated
 from elderlock.standins.boxes import Kind
 from elderlock.standins.counter import Counter
-from elderlock.standins.settings import facts
+from elderlock.standins.discovery import Registry
 
 RESTART_AFTER = 0.4  # s after which the platform starts a limiter that has ended, where no agent does
 UP_WITHIN = 60_000.0  # ms that the whole group may take to start
 FOLDS = 4  # times that what is left at the end is cancelled
 SAMPLE_EVERY = 0.5  # s between looks at what the group has come to
 COMMAND_WITHIN = 15.0  # s that an operator's command may take
-DRAIN = 250.0  # ms, the rule's
 STATES = {ServerState.RUNNING: "running", ServerState.DRAINING: "draining", ServerState.GONE: "gone"}
 FLOOR = "shells"
 CLASSES: list[tuple[Any, str]] = [(program, "Gateway"), (agents, "Agent")]  # watched while a run lasts
@@ -223,7 +223,7 @@
 
     async def _open(self) -> None:
         s = self.scenario
-        self.listing = Listing(self)
+        self.listing = Registry()
         where = self._machine("discovery", 0, 3, "")
         self.listing.discovery.host = where.host
         await self.listing.discovery.start(s.limiters)
@@ -260,25 +260,8 @@
         return box
 
     def _config(self, number: int, everyone: tuple[str, int]) -> dict[str, Any]:
-        s, several = self.scenario, self.scenario.limiters > 1 and self.scenario.settings.peers
-        kind = s.kind[0]
-        own = facts(
-            peers=several, **{"max-open": 20_000, "most-tries": s.settings.max_attempts},
-            **{"dial-timeout": s.settings.dial_ms, "keepalive": s.settings.keepalive_ms},
-        )  # fmt: skip
-        own.update({
-            "ordinal": number, "peers-total": s.limiters, "zone": number % s.floors,
-            "zones": [floor_name(n) for n in range(s.floors)], "kinds": [each.name for each in s.kind],
-            "services": [{"name": c.name, "goal-time": c.aim_ms, "effect": c.effect} for c in s.service],
-            "plans": [{
-                "name": p.name, "price": p.price, "quota-rate": p.rate, "burst": p.burst, "parallel": p.open_limit,
-                "beyond-earns": p.over_worth, "beyond-costs": p.over_cost, "hard-rate": p.ceiling_rate,
-                "never-over-depth": p.ceiling_burst, "hard-slack": p.ceiling_slack,
-            } for p in s.plan],
-            "rules": {"drain-grace": DRAIN, "cold": kind.cold_ms, "cold-share": kind.cold_share,
-                      "tip-multiple": self.rules.multiple, "fall": self.rules.window},
-            "family-info": {"peer-intake": s.settings.peer_intake, "largest": 1e6},
-        })  # fmt: skip
+        s, several = self.scenario, talks(self.scenario)
+        own = settings_of(s, number, self.rules)
         machine = self.machines[number]
         peers = ["%s:%d" % at for at in self._peers]
         return {
@@ -289,12 +272,6 @@
             **({"peer_listen": peers[number], "peers": peers, "peers_all": "%s:%d" % everyone} if several else {}),
         }  # fmt: skip
 
-    def _operators(self) -> str:
-        """What a limiter's operators' file sets beside its control socket."""
-        s = self.scenario.settings
-        text = f"[routing]\nsubset = {s.subset}\naway_ms = {s.away_ms}\n"
-        return text + ("[quota]\nstore = \"tally\"\n" if s.counter else "")
-
     # Processes
 
     def process(self, name: str, machine: Machine, environ: Mapping[str, str]) -> Process:
@@ -313,7 +290,7 @@
         folder = self.folder / f"o{number}"
         folder.mkdir(mode=0o700, exist_ok=True)
         path = folder / "operators.toml"
-        path.write_text(self._operators())
+        path.write_text(operators_of(self.scenario))
         environ = {"PROXY_CONFIG": str(self.folder / f"n{number}.json"), "ELDERLOCK_OPERATORS": str(path)}
         process = self._run_limiter(self.machines[number], environ)
         process.on_exit.append(lambda: self._again(number))
@@ -396,7 +373,7 @@
         number = int(Path(environ["PROXY_CONFIG"]).stem[1:])
         operators = Path(environ["ELDERLOCK_OPERATORS"])
         beside = operators.with_name("operators-and-more.toml")
-        beside.write_text(operators.read_text() + self._operators())
+        beside.write_text(operators.read_text() + operators_of(self.scenario))
         environ = {**environ, "ELDERLOCK_OPERATORS": str(beside)}
         return self._run_limiter(self.machines[number], environ)
 
@@ -461,9 +438,10 @@
                 self.process_name = process.name if process is not None else ""
                 world.gateways[self.process_name] = self
 
-            def listing(self, listed: TargetList, kind: ListKind) -> None:
+            def listed(self, listed: TargetList) -> None:
+                # under a name that the gateway does not call, the judges of drains and cold boxes heard nothing here
                 world.heard_list(self.process_name, listed)
-                super()._list(listed, kind)
+                super().listed(listed)
 
         return Seen
 
--- a/elderlock/standins/discovery.py
+++ b/elderlock/standins/discovery.py
@@ -90,31 +90,52 @@
 
 
 class Registry:
-    """The boxes of a group as all its limiters' agents list them, each with its own endpoints."""
+    """The boxes of a group as all its limiters' agents list them, each with its own endpoints: late (s), `stale` (as
+    the list was), listing the `dead`, where it is told to."""
 
     def __init__(self) -> None:
-        self.boxes: dict[str, Box] = {}
-        self.discovery = Discovery(rows=self._rows)
+        self.boxes: dict[str, Any] = {}
+        self.dead: dict[str, Any] = {}
+        self.stale: list[dict[str, Any]] | None = None
+        self.late = 0.0
+        self.discovery = Discovery(rows=self.rows)
 
-    def _rows(self, door: int) -> list[dict[str, Any]]:
-        return [box.target(door) for box in self.boxes.values()]
+    def rows(self, door: int) -> list[dict[str, Any]]:
+        if self.stale is not None:
+            return self.stale
+        return [box.target(door) for box in (*self.boxes.values(), *self.dead.values())]
 
     def add(self, box: Box) -> None:
         self.boxes[box.uid] = box
         self.changed(box)
 
-    def remove(self, uid: str) -> Box:
+    def remove(self, uid: str) -> Any:
         box = self.boxes.pop(uid)
         box.state = "removed"
         self.changed(box)
         return box
 
-    def changed(self, box: Box) -> None:
-        """Tells every watch of this box's present entry, unless its door is broken: what is written to a
+    def changed(self, *boxes: Box) -> None:
+        """Tells every watch of these boxes' present entries, unless its door is broken: what is written to a
         broken door is lost, and the list comes whole when the watch is renewed."""
+        if self.stale is not None:
+            return
+        if self.late > 0:
+            asyncio.get_running_loop().call_later(self.late, self._tell, boxes)
+        else:
+            self._tell(boxes)
+
+    def _tell(self, boxes: tuple[Box, ...]) -> None:
         self.discovery.rev += 1
         for writer, door in list(self.discovery.watching.items()):
-            line = {"rev": self.discovery.rev, "all": False, "targets": [box.target(door.number)]}
+            line = {"rev": self.discovery.rev, "all": False, "targets": [box.target(door.number) for box in boxes]}
+            self.discovery.line(door, writer, json.dumps(line).encode() + b"\n")
+
+    def whole(self) -> None:
+        """Every watch hears the whole list."""
+        self.discovery.rev += 1
+        for writer, door in list(self.discovery.watching.items()):
+            line = {"rev": self.discovery.rev, "all": True, "targets": self.rows(door.number)}
             self.discovery.line(door, writer, json.dumps(line).encode() + b"\n")
 
     async def fail(self, fault: Fault, doors: list[int] | None = None) -> None:
--- a/elderlock/standins/world.py
+++ b/elderlock/standins/world.py
@@ -96,14 +96,31 @@
         several = self.limiters > 1
         return {
             "name": f"n{number}", "seed": f"{self.rng.randrange(1 << 63):016x}",
-            "listen": self.listens[number], "discovery": self.registry.discovery.doors[number].endpoint,
+            "listen": self.listens[number], "discovery": self.discovery_of(number),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "counter": self.counter.doors[number].endpoint,
-            "settings": {**group_facts(number, self.limiters), "plans": self.plans},
+            "counter": self.counter_of(number), "settings": self.settings_of(number),
             **({"peer_listen": self.network.listens[number], "peers": self.network.peers(number),
                 "peers_all": self.network.everyone(number)} if several else {}),
         }  # fmt: skip
 
+    # By which addresses each is known, and to whom: where something lies between, it says so here
+
+    def discovery_of(self, limiter: int) -> str:
+        return self.registry.discovery.doors[limiter].endpoint
+
+    def counter_of(self, limiter: int) -> str:
+        return self.counter.doors[limiter].endpoint
+
+    def agent_at(self, asker: str, agent: int) -> str:
+        """To another agent, by its name, or to a tool, where that is empty."""
+        return self.agent_listens[agent]
+
+    def settings_of(self, limiter: int) -> dict[str, Any]:
+        return {**group_facts(limiter, self.limiters), "plans": self.plans}
+
+    def command_of(self, limiter: int) -> list[str]:
+        return [sys.executable, "-B", "-m", "elderlock"]
+
     def config_path(self, number: int) -> Path:
         return self.folder / f"n{number}.json"
 
@@ -118,6 +135,9 @@
     def group_path(self) -> Path:
         return self.folder / "group.toml"
 
+    def group_file(self, asker: str) -> Path:
+        return self.group_path.with_stem(f"group-{asker}") if asker else self.group_path
+
     def token_path(self, name: str) -> Path:
         return self.folder / f"token-{name}"
 
@@ -128,10 +148,11 @@
         private(self.folder / "tokens", "".join(f"{roles[n]} {n} {t}\n" for n, t in self.tokens.items()))
         for name, token in self.tokens.items():
             private(self.token_path(name), token + "\n")
-        lines = [f'[group]\ntoken = "token-{OPERATORS[0]}"\n']
-        for name, listen in zip(self.agent_names, self.agent_listens, strict=True):
-            lines.append(f'[[agent]]\nname = "{name}"\naddress = "{listen}"\n')
-        self.group_path.write_text("\n".join(lines))
+        for asker in ("", *self.agent_names):
+            lines = [f'[group]\ntoken = "token-{OPERATORS[0]}"\n']
+            for number, name in enumerate(self.agent_names):
+                lines.append(f'[[agent]]\nname = "{name}"\naddress = "{self.agent_at(asker, number)}"\n')
+            self.group_file(asker).write_text("\n".join(lines))
         for number, door in enumerate(self.doors):
             text = f'[authz]\nlisten = "{door}"\n[[authz.askers]]\naccounts = ["*"]\n'
             (self.folder / f"authz-{number}.toml").write_text(text)
@@ -140,16 +161,15 @@
 
     def write_agent(self, agent: int, command: Sequence[str] = (), supervise: str = "") -> Path:
         name = self.agent_names[agent]
-        run = list(command) or [sys.executable, "-B", "-m", "elderlock"]
         lines = [
             f'[agent]\nname = "{name}"\nlisten = "{self.agent_listens[agent]}"\nstate = "{name}"\n'
-            f'tokens = "tokens"\ngroup = "group.toml"\npeer_token = "token-{name}"\n',
+            f'tokens = "tokens"\ngroup = "{self.group_file(name).name}"\npeer_token = "token-{name}"\n',
             f"[supervise]\n{supervise}\n",
             f"[lend]\nworkers = {self.lend}\n",
         ]
         for number in self.share(agent):
             lines.append(
-                f'[[limiter]]\nname = "n{number}"\ncommand = {json.dumps(run)}\n'
+                f'[[limiter]]\nname = "n{number}"\ncommand = {json.dumps(list(command) or self.command_of(number))}\n'
                 f'config = "n{number}.json"\ndirectory = {json.dumps(str(ROOT))}\n'
                 + (f'authz = "authz-{number}.toml"\n' if self.doors else "")
             )
--- /dev/null
+++ b/elderlock/trial/flaws.py
@@ -0,0 +1,182 @@
+"""Builds with one known fault each: what a judge has to see. The simulation puts one under its own process, the proving
+ground under a child (`ELDERLOCK_TRIAL_FLAW`); no code that ships loads this."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any, Protocol
+
+from elderlock import interface as api
+from elderlock.control.overlay import Overlay
+from elderlock.decisions.attempts import Attempts
+from elderlock.decisions.boxes import Boxes
+from elderlock.decisions.choice import Choice
+from elderlock.decisions.load import Load
+from elderlock.decisions.quotas import Quotas
+from elderlock.decisions.throttle import Throttle
+from elderlock.net.gateway import Gateway
+from elderlock.net.targets import TargetList
+from elderlock.state import OpenRequest
+
+
+class Patching(Protocol):
+    """As pytest's monkeypatch has it."""
+
+    def setattr(self, target: Any, name: str, value: Any) -> None: ...
+
+
+class Patch:
+    """For the rest of the process."""
+
+    def setattr(self, target: Any, name: str, value: Any) -> None:
+        setattr(target, name, value)
+
+
+Flaw = Callable[[Patching], None]
+
+
+def loses(patch: Patching) -> None:
+    """A failure is not answered, and nobody watches over patience."""
+    kept = Gateway._answer
+
+    def answer(self: Gateway, name: str, text: bytes) -> None:
+        if text.startswith(b"-BUSY"):
+            kept(self, name, text)
+
+    patch.setattr(Gateway, "_answer", answer)
+    patch.setattr(Gateway, "_overdue", lambda self, request: None)
+
+
+def tries_all_again(patch: Patching) -> None:
+    """An attempt that may have run is made again whatever the class."""
+    kept = Choice.choose
+
+    def choose(self: Choice, request: OpenRequest) -> Any:
+        safe = replace(request.rclass, effect=api.Effect.SAFE)
+        request.rclass, own = safe, request.rclass
+        try:
+            return kept(self, request)
+        finally:
+            request.rclass = own
+
+    patch.setattr(Choice, "choose", choose)
+
+
+def keeps_sending(patch: Patching) -> None:
+    """Lists that say that a box drains are not read."""
+    kept = Boxes.listed
+
+    def listed(self: Boxes, event: api.ServerList) -> None:
+        entries = tuple(
+            e if e.state is not api.ServerState.DRAINING
+            else api.ServerEntry(e.server, e.zone, e.kind, e.cell, api.ServerState.RUNNING, e.weight, e.started_at)
+            for e in event.entries
+        )  # fmt: skip
+        kept(self, api.ServerList(event.version, event.kind, entries))
+
+    def told(self: Gateway, listed: TargetList, kind: api.ListKind) -> None:
+        targets = tuple(
+            t if t.entry.state is not api.ServerState.DRAINING
+            else replace(t, entry=replace(t.entry, state=api.ServerState.RUNNING))
+            for t in listed.targets
+        )  # fmt: skip
+        kept_list(self, replace(listed, targets=targets), kind)
+
+    kept_list = Gateway._list
+    patch.setattr(Boxes, "listed", listed)
+    patch.setattr(Gateway, "_list", told)
+
+
+def knows_no_cold(patch: Patching) -> None:
+    patch.setattr(Boxes, "coldness", lambda self, server: 1.0)
+    patch.setattr(Boxes, "cold_wait", lambda self, server: 0.0)
+    patch.setattr(Throttle, "passes", lambda self, inside, value, now: True)
+    patch.setattr(Load, "crowding", lambda self: 0.0)
+
+
+def knows_no_ceiling(patch: Patching) -> None:
+    patch.setattr(Quotas, "capped", lambda self, account, units: False)
+
+
+def lies_of_drains(patch: Patching) -> None:
+    """A limiter says that it holds a drain and goes on."""
+    patch.setattr(Overlay, "_over", lambda self, target: target)
+
+
+def raises(patch: Patching) -> None:
+    kept = Attempts.ended
+
+    def ended(self: Attempts, event: api.AttemptEnded) -> None:
+        if event.outcome is api.Outcome.ERROR:
+            raise KeyError("an outcome that nobody thought of")
+        kept(self, event)
+
+    patch.setattr(Attempts, "ended", ended)
+
+
+def never_lets_go(patch: Patching) -> None:
+    patch.setattr(Attempts, "_drop_if_over", lambda self, request: None)
+
+
+def forgets_no_timer(patch: Patching) -> None:
+    """Each request leaves something that nobody takes away."""
+    kept = Attempts.first_sent
+
+    def first_sent(self: Attempts) -> None:
+        kept(self)
+        for _ in range(3):
+            self.core.timers.set(self.core.now + 1e9, -7)
+
+    patch.setattr(Attempts, "first_sent", first_sent)
+
+
+def hears_no_other(patch: Patching) -> None:
+    """The tool tells one agent, and agents take nothing from one another."""
+    from elderlock.fleet.client import Group
+
+    kept = Group.ask_all
+
+    async def ask_all(self: Group, make: Any, answer: Any, within: float, agents: Any = None) -> Any:
+        return await kept(self, make, answer, within, ["agent-0"])
+
+    patch.setattr(Group, "ask_all", ask_all)
+    learns_nothing(patch)
+
+
+def learns_nothing(patch: Patching) -> None:
+    """Agents take nothing from one another."""
+    from elderlock.fleet.agent import Agent
+
+    patch.setattr(Agent, "learn", lambda self, records, via: None)
+
+
+def leaks_descriptors(patch: Patching) -> None:
+    """Each request leaves some open for good."""
+    kept = Attempts.first_sent
+
+    def first_sent(self: Attempts) -> None:
+        kept(self)
+        for _ in range(3):
+            os.open(os.devnull, os.O_RDONLY)
+
+    patch.setattr(Attempts, "first_sent", first_sent)
+
+
+def keeps_what_is_over(patch: Patching) -> None:
+    """A request that is answered stays among those that are open."""
+
+    def over(self: Gateway, request: Any, answer: Any) -> None:
+        name = request.command.name
+        kept(self, request, answer)
+        self._open.add(name)
+
+    kept = Gateway._end
+    patch.setattr(Gateway, "_end", over)
+
+
+FLAWS: dict[str, Flaw] = {flaw.__name__: flaw for flaw in (
+    loses, tries_all_again, keeps_sending, knows_no_cold, knows_no_ceiling, lies_of_drains, raises, never_lets_go,
+    forgets_no_timer, hears_no_other, learns_nothing, leaks_descriptors, keeps_what_is_over,
+)}  # fmt: skip
--- a/tests/authz/test_routing.py
+++ b/tests/authz/test_routing.py
@@ -21,7 +21,6 @@
 from elderlock.authz.config import AuthzError
 from elderlock.authz.router import RoutingDoor
 from elderlock.authz.routing import EJECT_AFTER, EJECT_FOR, MOST_EJECTED, Fate, Next, Router, after
-from elderlock.cli import guard
 from elderlock.fleet.client import Group
 from elderlock.fleet.operate import Order, carry_out, see
 from elderlock.fleet.report import Exit
@@ -30,6 +29,7 @@
 from elderlock.standins.programs import ACCOUNT, Program, programs, terms_of
 from elderlock.standins.waiting import run
 from elderlock.standins.world import ROOT, World, free_address, own_host
+from elderlock.trial import guard
 
 NAMES = {f"n{n}": n for n in range(5)}
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -14,12 +14,12 @@
 
 import pytest
 
-from elderlock.cli import guard
 from elderlock.cli.main import main, parser
 from elderlock.fleet.report import Exit
 from elderlock.standins.agents import SimulatedAgents
 from elderlock.standins.waiting import run
 from elderlock.standins.world import ROOT, private
+from elderlock.trial import guard
 
 COMMAND = [sys.executable, "-B", "-m", "elderlock.cli.main"]
 
