Play schedules on real processes: relays on every link, seams under clocks and disks

The proving ground's core: elderlock/trial starts limiters and agents as they ship, with a relay on each link (a cut holds the listener's queue full, so connections never come up), seams for wall clocks, disks and kills between two steps of a write, power loss of what was not synced, and the simulation's judges over a history from outside.

--- a/elderlock/sim/clients.py
+++ b/elderlock/sim/clients.py
@@ -120,6 +120,20 @@
             self.silent.remove(writer)
             writer.close()
 
+    def close(self) -> None:
+        """On a real loop, which outlives them."""
+        self.dry = True
+        for task in self._tasks:
+            task.cancel()
+        for request in list(self.open):
+            request.active = False
+            for timer in (request.timer, request.leave, request.again):
+                if timer is not None:
+                    timer.cancel()
+        for pools in self._pools:
+            for pool in pools:
+                pool.close()
+
     # One request, as the load generator's worker has it
 
     def _launch(self, arrival: Arrival) -> None:
--- a/elderlock/sim/shells.py
+++ b/elderlock/sim/shells.py
@@ -33,7 +33,7 @@
 from elderlock.sim.facts import operators_of, settings_of, talks
 from elderlock.sim.figures import Account, Result
 from elderlock.sim.models.ways import Ways
-from elderlock.sim.scenario import Scenario, floor_name
+from elderlock.sim.scenario import Fault, Scenario, floor_name
 from elderlock.sim.shell_faults import ShellFaults
 from elderlock.sim.surroundings import ShellBox
 from elderlock.sim.taps import ClientTap, SendTap
@@ -122,6 +122,12 @@
         """ms of the run."""
         return (self.loop.time() - START) * 1000.0
 
+    def since(self, unix: float) -> float:
+        return unix - EPOCH * 1000.0
+
+    def began_fault(self, number: int, fault: Fault) -> None:
+        self.trace.event(self.at(), "fault", f"{number} {fault.target} {fault.what}")
+
     # A run
 
     def play(self) -> Result:
--- a/elderlock/trial/child.py
+++ b/elderlock/trial/child.py
@@ -1,5 +1,5 @@
-"""Starts a limiter or an agent as it ships, under a seam: `python -m elderlock.trial.child limiter SEAM`, or `agent SEAM
-FILE`.
+"""Starts a limiter or an agent as it ships, under a seam: `python -m elderlock.trial.child limiter SEAM`, or `agent
+SEAM FILE`.
 
 The code that runs is the program's own (`elderlock.__main__.main`, the agent's `serve`); the wall clock, the disk and,
 where a test asks for it, one known fault of the build are put under it before it is loaded.
--- a/elderlock/trial/guard.py
+++ b/elderlock/trial/guard.py
@@ -1,6 +1,6 @@
-"""Sweeps up after `elderlock up`, however that ended: kills what it started and removes its folder.
+"""Sweeps up after `elderlock up` or a trial, however that ended: kills what it started and removes its folder.
 
-Its standard input is a pipe that nobody writes to; its end means that `up` is gone. What belongs to `up` is
+Its standard input is a pipe that nobody writes to; its end means that the starter is gone. What belongs to it is
 known by a mark in the environment, which every process started from it inherits: no pid can be confused.
 """
 
@@ -56,7 +56,7 @@
     for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
         signal.signal(number, signal.SIG_IGN)
     sys.stdin.buffer.read()
-    sweep(os.environ[MARK], Path(sys.argv[1]))
+    sweep(os.environ[MARK], Path(sys.argv[1]), float(sys.argv[2]) if len(sys.argv) > 2 else ORDERLY)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/elderlock/trial/run.py
@@ -0,0 +1,180 @@
+"""One trial: a scenario played on real processes, from the first start to a verdict, bounded in time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import shutil
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from elderlock.sim import judges as j
+from elderlock.sim.figures import Result
+from elderlock.sim.scenario import Scenario, unplayable
+from elderlock.trial import disk, history, lateness
+from elderlock.trial.agreed import Agreed
+from elderlock.trial.faults import TrialFaults
+from elderlock.trial.ground import Ground, TrialError
+from elderlock.trial.history import Event
+from elderlock.trial.lateness import Late, Stall
+
+FLOOR = "trial"
+SAMPLE_EVERY = 0.5  # s between looks at what could grow
+REST_WITHIN = 10.0  # s beyond the scenario's rest that open requests and records may take to settle
+SETTLE_WITHIN = 30.0  # s that commands and restarts under way at the end may take
+
+
+@dataclass
+class Outcome:
+    """`result` as the simulation's; `late` says whether the machine had time for the run. `events` in their order."""
+
+    result: Result
+    late: Late
+    events: list[Event]
+    stalls: list[Stall]
+    late_rules: list[j.Broken]
+    links: int
+    processes: int
+    start_s: float
+    commands: list[tuple[str, int]]
+    unplayed: list[str] = field(default_factory=list)
+
+    def verdict(self) -> str:
+        """good, broken, or late where the machine had no time and nothing but times was broken."""
+        if not self.result.good():
+            return "broken"
+        return "late" if self.late.text or self.late_rules else "good"
+
+    def text(self) -> str:
+        lines = [self.result.text()]
+        lines += [f"  LATE {each.line()}" for each in self.late_rules[:10]]
+        if self.late.text:
+            lines.append(f"  the run counts as late: {self.late.text}")
+        lines += [f"  not played here: {each}" for each in self.unplayed]
+        lines.append(
+            f"  {self.processes} processes, {self.links} links, up in {self.start_s:.2f} s; "
+            f"worst stand-still of the relays {self.late.worst:.0f} ms"
+        )
+        return "\n".join(lines)
+
+
+def failures_in_logs(ground: Ground) -> None:
+    """What processes logged as having failed, as the simulation hears it: exceptions that nobody handled."""
+    for path in ground.logs():
+        who = path.parent.name if path.name == "log" else path.stem
+        text = path.read_text(errors="replace")
+        for line in text.splitlines():
+            if line.startswith("Traceback (most recent call last)") or '"exception": "Traceback' in line:
+                ground.bench.failure(ground.at(), who, _reason(text, line))
+                break
+
+
+def _reason(text: str, line: str) -> str:
+    """The last line of the first traceback."""
+    if line.startswith("{"):
+        raised = str(json.loads(line).get("exception", "")).splitlines()
+        return raised[-1] if raised else line[:200]
+    rest = text[text.index(line) :].splitlines()[1:]
+    return next((each for each in rest if each and not each.startswith(" ")), "an exception")[:200]
+
+
+async def _rest(ground: Ground) -> dict[str, int]:
+    """Waits until nothing is open and all records agree, for so long; returns what is left then."""
+    ends = time.monotonic() + REST_WITHIN
+    while True:
+        left = {"requests open at their clients": len(ground.clients.open) if ground.clients is not None else 0}
+        shown = await ground.shown()
+        for each in shown.values():
+            for limiter in each.limiters:
+                if limiter.state is not None and limiter.link == "answering":
+                    left[f"requests open at {limiter.name}"] = limiter.state.open
+        digests = ground.digests(shown)
+        if (not any(left.values()) and len(set(digests.values())) <= 1) or time.monotonic() > ends:
+            ground.note("digests", json.dumps(digests))
+            return left
+        await asyncio.sleep(0.1)
+
+
+async def _sampled(ground: Ground) -> None:
+    while True:
+        await asyncio.sleep(SAMPLE_EVERY)
+        if ground.clients is not None and not ground.clients.dry:
+            ground.sample()
+
+
+async def _schedule(ground: Ground, faults: TrialFaults) -> None:
+    s = ground.scenario
+    for agent in range(s.agents):  # for restarts from an old state
+        disk.copy_home(ground.home(agent), ground.folder / "old" / ground.agent_names[agent])
+    clients = ground.ask()
+    timers = [
+        ground.loop.call_later(fault.at_s, faults.begin, number, fault) for number, fault in enumerate(s.fault)
+    ]
+    sampling = ground.loop.create_task(_sampled(ground))
+    try:
+        await asyncio.sleep(s.lasts_s)
+        clients.dry = True
+        await asyncio.sleep(s.longest_deadline() / 1000.0 + s.rest_s)
+        async with asyncio.timeout(SETTLE_WITHIN):
+            await faults.settled()
+        await ground.up()
+    except TimeoutError:
+        raise TrialError(f"faults under way at the end were not done within {SETTLE_WITHIN:g} s") from None
+    finally:
+        sampling.cancel()
+        for timer in timers:
+            timer.cancel()
+
+
+async def play(
+    scenario: Scenario, folder: Path, mark: str, seed: int = 1, flaw: str = "", keep: Path | None = None,
+    more: Callable[[Ground, Agreed], None] = lambda ground, agreed: None,
+) -> Outcome:
+    """`folder` is empty and the run's own; with `keep` what shows what happened is copied there. `more` may tell the
+    checker of what is agreed before it is asked. Raises `TrialError`, with who waited for what."""
+    wall = time.monotonic()
+    ground = Ground(scenario, folder, mark, seed, flaw)
+    agreed, ended, why = Agreed(ground.rules), "finished", ""
+    ground.loop.set_exception_handler(
+        lambda loop, context: ground.failed.append(str(context.get("exception") or context["message"]))
+    )
+    faults = TrialFaults(ground)
+    try:
+        await ground.open()
+        began = time.monotonic()
+        await ground.start()
+        start_s = time.monotonic() - began
+        await _schedule(ground, faults)
+        left = await _rest(ground)
+        digests = ground.digests(await ground.shown())
+        failures_in_logs(ground)
+        ends = ground.at()
+        more(ground, agreed)
+        if ground.failed:  # a stand-in, a relay or a judge, not the code under test
+            ended, why = "failed", "; ".join(ground.failed[:3])
+        links = sum(relay.taken for relay in ground.relays.all)
+        processes = len(ground.members) + len(ground.agent_processes) + ground.tools
+        states = sorted({event.args[1] for event in ground.bench.events if event.what == "process"})
+    finally:
+        await ground.close()
+        if keep is not None:
+            keep.mkdir(parents=True, exist_ok=True)
+            for path in (*ground.logs(), *folder.glob("*.log")):
+                name = f"{path.parent.name}.log" if path.name == "log" else path.name
+                shutil.copy2(path, keep / name)
+            history.write(ground.bench.in_order(), keep / "history.jsonl")
+    events = ground.bench.in_order()
+    stalls = ground.watch.stalls
+    rest = j.Rest(ground.rules, lambda: left)
+    agreement = j.Agreement(ground.rules, lambda: digests)
+    verdict = history.judged(events, stalls, ground.rules, ends, (rest, agreement, agreed))
+    result = Result(
+        scenario.name, FLOOR, seed, ground.account.figures(), [(each.rule, each.at, each.text) for each in verdict.broken],
+        len(verdict.broken), "", len(events), ended, why, states, time.monotonic() - wall, ends / 1000.0,
+    )  # fmt: skip
+    return Outcome(
+        result, lateness.judged(stalls, ends), events, stalls, verdict.late, links, processes, start_s,
+        faults.commands, unplayable(scenario, FLOOR),
+    )  # fmt: skip
--- a/elderlock/trial/taps.py
+++ b/elderlock/trial/taps.py
@@ -60,8 +60,8 @@
 
 
 class ListEyes(_Eyes):
-    """Lists as discovery writes them, one JSON object in each chunk or body; `heard` gets each whole one, as it comes to
-    the limiter."""
+    """Lists as discovery writes them, one JSON object in each chunk or body; `heard` gets each whole one, as it comes
+    to the limiter."""
 
     def __init__(self, heard: Callable[[dict[str, Any]], None]) -> None:
         self._heard = heard
