--- a/benchmarks/sim_scale.py
+++ b/benchmarks/sim_scale.py
@@ -22,7 +22,8 @@
 
 import msgspec
 
-from elderlock.cli.up import running, swept
+from elderlock.cli.running import PREFIX
+from elderlock.cli.up import running
 from elderlock.load import scenario as load
 from elderlock.load.accounts import Mix
 from elderlock.load.coordinator import Coordinator, local_lines
@@ -31,6 +32,7 @@
 from elderlock.sim.scenario import BoxKind, Net, Plan, Scenario, Service, Settings, of_load
 from elderlock.sim.seeds import Floor
 from elderlock.standins.boxes import OLD, STD
+from elderlock.trial.processes import swept
 
 HERE = Path(__file__).parent
 ROOT = HERE.parent
@@ -183,7 +185,7 @@
             found["p99"] = report.by["outcome"]["served"].latency["p99"]
             return 0
 
-    swept(life)
+    swept(PREFIX, life)
     kinds = tuple(
         BoxKind(kind.name, kind.cores, kind.speed, kind.shape.room, kind.shape.work, kind.shape.cold_share,
                 kind.shape.cold_ms)
--- a/elderlock/cli/load.py
+++ b/elderlock/cli/load.py
@@ -245,10 +245,11 @@
 
 
 def up(options: argparse.Namespace) -> int:
-    from elderlock.cli.up import swept
+    from elderlock.cli.running import PREFIX
+    from elderlock.trial.processes import swept
 
     read = _scenario(options)
-    return swept(lambda folder, mark: _up(options, read, folder, mark))
+    return swept(PREFIX, lambda folder, mark: _up(options, read, folder, mark))
 
 
 async def _up(options: argparse.Namespace, read: Scenario, folder: Path, mark: str) -> int:
--- a/elderlock/cli/main.py
+++ b/elderlock/cli/main.py
@@ -47,6 +47,14 @@
 """
 
 
+TRIAL_EPILOG = """exit codes:
+  0  done, and nothing was broken
+  2  bad usage, a file that cannot be used, or a group that did not come up
+  7  a rule was broken
+  8  the machine had no time for it: the run says nothing
+"""
+
+
 def parser(whole: bool = True) -> argparse.ArgumentParser:
     """`whole`: with the parts of `load`, `sim` and `experiment`, which take a while to read in."""
     top = argparse.ArgumentParser(
@@ -148,6 +156,14 @@
         add_sim(sim_commands, _seconds)
         add_experiment(experiment_commands)
 
+    trial = add("trial", "plays schedules on real processes", "elderlock trial run partition")
+    trial.epilog = TRIAL_EPILOG
+    trial_commands = trial.add_subparsers(dest="trial_command", required=True, metavar="COMMAND")
+    if whole:
+        from elderlock.cli.trial import add as add_trial
+
+        add_trial(trial_commands)
+
     completion = add(
         "completion", "prints a shell's completion script", "elderlock completion bash > ~/.elderlock.bash"
     )
@@ -168,7 +184,8 @@
 def main(argv: Sequence[str] | None = None) -> int:
     words = sys.argv[1:] if argv is None else list(argv)
     try:
-        options = parser(whole=bool({"load", "sim", "experiment", "completion"} & set(words))).parse_args(words)
+        whole = {"load", "sim", "experiment", "trial", "completion"}
+        options = parser(whole=bool(whole & set(words))).parse_args(words)
         with contextlib.suppress(BrokenPipeError):  # `| head` has read enough
             return _run(options)
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
@@ -203,6 +220,10 @@
             from elderlock.cli.sim import experiment
 
             return experiment(options)
+        if options.command == "trial":
+            from elderlock.cli.trial import main as trial
+
+            return trial(options)
         if options.command == "up":
             from elderlock.cli.up import up
 
--- a/elderlock/cli/up.py
+++ b/elderlock/cli/up.py
@@ -6,18 +6,11 @@
 import asyncio
 import contextlib
 import importlib.util
-import os
-import secrets
 import signal
-import subprocess
 import sys
-import tempfile
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any
-
-import uvloop
 
 from elderlock.cli.running import PREFIX
 from elderlock.fleet.client import Group
@@ -25,8 +18,8 @@
 from elderlock.fleet.report import Exit
 from elderlock.fleet.seen import Seen
 from elderlock.standins.front import Front
-from elderlock.standins.world import OPERATORS, ROOT, World
-from elderlock.trial.guard import MARK
+from elderlock.standins.world import OPERATORS, World
+from elderlock.trial.processes import AGENT, Child, python, swept
 
 READY_WITHIN = 30.0  # s
 AGENT_AGAIN = 0.5  # s before an agent that died is started again
@@ -36,54 +29,35 @@
     """The group did not come up; the text is for whoever started it."""
 
 
-def swept(work: Callable[[Path, str], Coroutine[Any, Any, int]]) -> int:
-    """Runs it with a folder of its own and a mark for what it starts, and sweeps both up however it ends."""
-    folder = Path(tempfile.mkdtemp(prefix=PREFIX))
-    mark = secrets.token_hex(8)
-    guard = subprocess.Popen(
-        [sys.executable, "-B", "-m", "elderlock.trial.guard", str(folder)], stdin=subprocess.PIPE, cwd=ROOT,
-        env={**os.environ, MARK: mark}, start_new_session=True,
-    )  # fmt: skip
-    try:
-        return uvloop.run(work(folder, mark))
-    except KeyboardInterrupt:
-        return 130
-    finally:
-        assert guard.stdin is not None
-        guard.stdin.close()  # whatever happened, the guard sweeps now
-        for number in (signal.SIGINT, signal.SIGTERM):
-            signal.signal(number, signal.SIG_IGN)
-        guard.wait()
-
-
 def up(options: argparse.Namespace) -> int:
     if not (1 <= options.limiters <= 40 and 1 <= options.boxes <= 200 and 0 <= options.traffic <= 5000):
         print("elderlock: up takes 1 to 40 limiters, 1 to 200 boxes, 0 to 5000 requests a second", file=sys.stderr)
         return 2
-    return swept(lambda folder, mark: _up(options, folder, mark))
+    return swept(PREFIX, lambda folder, mark: _up(options, folder, mark))
 
 
 class _Agent:
     """The agent's process, started again when it dies: its limiters run on meanwhile."""
 
     def __init__(self, path: Path, mark: str, log: Path) -> None:
-        self._path, self._mark, self._log = path, mark, log
-        self.process: asyncio.subprocess.Process | None = None
+        self._child = Child("agent", python(*AGENT, str(path)), mark, log, ended=self._over)
+        self._ended = asyncio.Event()
+        self._code = 0
         self.unusable = asyncio.Event()
 
+    def _over(self, code: int) -> None:
+        self._code = code
+        self._ended.set()
+
     async def keep(self) -> None:
         while True:
-            with self._log.open("ab") as out:
-                self.process = await asyncio.create_subprocess_exec(
-                    sys.executable, "-B", "-m", "elderlock.cli.main", "agent", str(self._path),
-                    cwd=ROOT, env={**os.environ, MARK: self._mark}, stdin=asyncio.subprocess.DEVNULL,
-                    stdout=out, stderr=out, start_new_session=True,
-                )  # fmt: skip
-            code = await self.process.wait()
-            if code == 2:  # its file cannot be used: to start it again would change nothing
+            self._ended.clear()
+            await self._child.start()
+            await self._ended.wait()
+            if self._code == 2:  # its file cannot be used: to start it again would change nothing
                 self.unusable.set()
                 return
-            print(f"the agent has ended with {code}; it is started again", file=sys.stderr, flush=True)
+            print(f"the agent has ended with {self._code}; it is started again", file=sys.stderr, flush=True)
             await asyncio.sleep(AGENT_AGAIN)
 
 
--- a/elderlock/load/pinging.py
+++ b/elderlock/load/pinging.py
@@ -25,7 +25,9 @@
                 tell = front.ponged if line == b"+PONG\r\n" else front.turned_away
                 tell(target, loop.time())
                 await asyncio.sleep(every)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, RuntimeError):
+            # uvloop raises RuntimeError at a write on a connection that was reset since the last one; a task that ends
+            # there asks its target never again, and the front goes by what it heard last for good
             pass
         finally:
             if writer is not None:
--- a/elderlock/sim/scenario.py
+++ b/elderlock/sim/scenario.py
@@ -23,6 +23,7 @@
 FORMAT = 1  # of the models and of this file: a kept seed of another one no longer applies
 MOST_LIMITERS, MOST_BOXES = 2000, 50_000
 LONGEST_S = 200_000.0
+FARTHEST = 2e12  # ms that a clock may be stepped by: back to 1970 and as far ahead
 LONGEST_RECORDED = 10_000.0  # ms, of a deadline in a trace
 LONGEST_FILE = 32 << 20  # bytes: a schedule of 100,000 faults is some 8 MB
 
@@ -68,9 +69,10 @@
     """`at_s` after the start, for `for_s` (0: what it does cannot end, or it stays to the end). `by`: times for slow, a
     share for errs and loss, ms for late, pause and clock, requests a second more for rush, connections a second for
     silent-clients, the share of clients that ask once and keep their connection for good for hoard, ms of disorder for
-    reorder, bytes a second for trickle, ms for disk-slow. `target`: `box:3`, `box:0-4`, `box:*`, `limiter:1`,
-    `agent:0`, `floor:1`, `house` (all of it), `counter`, `discovery`, `peers`, `clients`, or `way:limiter:0>box:3`, the
-    way from one to another and not the way back; `tool` is an operator's command there."""
+    reorder, bytes a second for trickle, ms for disk-slow, s after which a real tool gives up for op-drain and
+    op-undrain. `target`: `box:3`, `box:0-4`, `box:*`, `limiter:1`, `agent:0`, `floor:1`, `house` (all), `counter`,
+    `discovery`, `peers`, `clients`, or `way:limiter:0>box:3`, the way from one to another and not the way back; `tool`
+    is an operator's command there."""
 
     at_s: float
     what: What
@@ -323,7 +325,9 @@
     able = ABLE[fault.kind()]
     if fault.what not in able:
         raise ScenarioError(f"{where}: {fault.target} cannot be made {fault.what}; it can be {', '.join(sorted(able))}")
-    load.bounds(where, at_s=(fault.at_s, 0, lasts), for_s=(fault.for_s, 0, LONGEST_S), by=(fault.by, -1e6, 1e6))
+    load.bounds(
+        where, at_s=(fault.at_s, 0, lasts), for_s=(fault.for_s, 0, LONGEST_S), by=(fault.by, -FARTHEST, FARTHEST)
+    )
     if fault.what in ("errs", "loss", "hoard", "duplicate") and not 0 <= fault.by <= 1:
         raise ScenarioError(f"{where}: by is {fault.by:g}, a share lies between 0 and 1")
 
--- a/elderlock/trial/disk.py
+++ b/elderlock/trial/disk.py
@@ -98,9 +98,9 @@
 
 
 def put_home(home: Path, old: Path | None) -> None:
-    """In place of what is there: an old state, or none."""
+    """In place of what is there: an old state, or none. Sockets stay: limiters that live answer on theirs."""
     for path in list(home.rglob("*")):
-        if path.is_file() and path.name not in KEPT or path.is_socket():
+        if path.is_file() and path.name not in KEPT:
             path.unlink()
     if old is not None:
         shutil.copytree(old, home, dirs_exist_ok=True)
--- a/elderlock/trial/faults.py
+++ b/elderlock/trial/faults.py
@@ -190,9 +190,10 @@
                 old = world.folder / "old" / name if fault.what == "old-state" else None
                 await world.restart_agent(number, old)
             case "kill-write" | "kill-sync" | "kill-rename":
-                agent.doomed = f"it was to be killed at a step of its disk: {fault.what}"
+                agent.armed = True
                 agent.block.kill_at(STEPS[fault.what])
             case what:
+                agent.lied = agent.lied or what == "disk-lies"
                 agent.block.slow_ms = by_of(fault)
                 agent.block.disk = DISKS[what]
                 self._for(fault, lambda: setattr(agent.block, "disk", Disk.GOOD))
@@ -204,9 +205,12 @@
             return
         drained = fault.what == "op-drain"
         operator = self.world.rng.choice(OPERATORS)
-        await self.told(operator, "drain" if drained else "undrain", kind, target, "--force")
+        verb = "drain" if drained else "undrain"
+        await self.told(operator, verb, kind, target, "--force", within=fault.by or COMMAND_WITHIN)
 
-    async def told(self, operator: str, verb: str, kind: str, target: str, *more: str) -> int:
+    async def told(
+        self, operator: str, verb: str, kind: str, target: str, *more: str, within: float = COMMAND_WITHIN
+    ) -> int:
         """A tool's whole life, as a process of its own; returns its exit code. What it told of limiters that send a box
         nothing any more is held against them."""
         world = self.world
@@ -217,7 +221,7 @@
         undrains = self._undrains.get(target, 0)
         world.tools += 1
         name = f"tool-{world.tools}"
-        words = [verb, kind, target, "--json", "--give-up-after", f"{COMMAND_WITHIN:g}", *more,
+        words = [verb, kind, target, "--json", "--give-up-after", f"{within:g}", *more,
                  "--group", str(world.group_path), "--token-file", str(world.token_path(operator))]  # fmt: skip
         done: asyncio.Future[int] = world.loop.create_future()
         log = world.folder / f"{name}.log"
@@ -236,8 +240,8 @@
         if drained and kind == "box" and self._undrains.get(target, 0) == undrains:
             for row in _rows(log):
                 if row["state"] == "reached" and row["limiter"]:
-                    offset = world.members[int(row["limiter"][1:])].block.clock_ms
-                    since = world.since(row["at"] - offset)
+                    life = world.members[int(row["limiter"][1:])].life
+                    since = world.since(row["at"] - (life.clock_ms if life is not None else 0.0))
                     world.bench.claimed(world.at(), operator, target, row["limiter"], since)
         return code
 
--- a/elderlock/trial/flaws.py
+++ b/elderlock/trial/flaws.py
@@ -176,7 +176,21 @@
     patch.setattr(Gateway, "_end", over)
 
 
+def keeps_nothing(patch: Patching) -> None:
+    """A record counts before it is durable: the store's transactions are never ended."""
+    from elderlock.fleet.store import Store
+
+    def write(self: Store, *statements: Any) -> None:
+        if not self._db.in_transaction:
+            self._db.execute("BEGIN IMMEDIATE")
+        for text, values in statements:
+            self._db.execute(text, values)
+
+    patch.setattr(Store, "_write", write)
+
+
 FLAWS: dict[str, Flaw] = {flaw.__name__: flaw for flaw in (
     loses, tries_all_again, keeps_sending, knows_no_cold, knows_no_ceiling, lies_of_drains, raises, never_lets_go,
     forgets_no_timer, hears_no_other, learns_nothing, leaks_descriptors, keeps_what_is_over,
+    keeps_nothing,
 )}  # fmt: skip
--- a/elderlock/trial/ground.py
+++ b/elderlock/trial/ground.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import time
 from collections.abc import Callable, Mapping
@@ -35,6 +36,7 @@
 from elderlock.standins.world import World, own_host
 from elderlock.trial import child as children
 from elderlock.trial import disk
+from elderlock.trial.guard import marked
 from elderlock.trial.history import DRAIN, GRACE, INSTANT, Recorder
 from elderlock.trial.lateness import Watch
 from elderlock.trial.processes import Child, Stranger, python
@@ -70,6 +72,7 @@
 
     name: str
     process: Stranger
+    clock_ms: float = 0.0  # by which its wall clock was ahead as it began: a limiter reads it then alone
     doomed: str = ""  # why its end is no fault of its own
 
 
@@ -79,6 +82,7 @@
     block: Block
     life: Life | None = None
     begun: int = 0
+    unseen: set[int] = field(default_factory=set)  # pids that were killed before they were seen to begin
     own: Child | None = None  # where no agent starts it
     lives: list[Life] = field(default_factory=list)
 
@@ -89,8 +93,11 @@
     block: Block
     child: Child
     doomed: str = ""
+    lied: bool = False  # its disk said of a sync that it was done, and it was not
+    armed: bool = False  # to be killed at a step of its disk, in this life or a later one
     held_down: bool = False  # started again by whoever holds it down
     starts: int = 0
+    states: int = 0  # how often what it had kept was taken away by us
 
 
 class Ground(World):
@@ -203,9 +210,20 @@
     ) -> Relay:
         return self.relays.add(Relay(self.ways, here, there, target, look), self._own(), listens)
 
+    def _room(self) -> None:
+        """Raises `TrialError` where the machine allows too few descriptors for all relays and connections."""
+        s = self.scenario
+        needed = 150 + s.limiters * (4 * s.boxes + 3 * s.limiters + 20) + 4 * s.agents * s.agents
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if soft < needed <= hard or hard == resource.RLIM_INFINITY:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, needed), hard))
+        elif hard < needed:
+            raise TrialError(f"it needs some {needed} descriptors for its relays, and may have {hard} (ulimit -n)")
+
     async def open(self) -> None:
-        """Stand-ins, relays, files; no process yet."""
+        """Stand-ins, relays, files; no process yet. Raises `TrialError`."""
         s = self.scenario
+        self._room()
         (self.folder / "seams").mkdir(mode=0o700)
         await self.registry.discovery.start(s.limiters)
         await self.counter.open(s.limiters)
@@ -305,6 +323,20 @@
             for member in self.members:
                 await self._start_limiter(member)
         await self.up(within)
+        await self._met(within)
+
+    async def _met(self, within: float) -> None:
+        """Until each agent has met its limiters: before that a tool is told that it knows no box."""
+        ends = time.monotonic() + within
+        while self.agents:
+            shown = await self.shown()
+            links = {each.name: each.link for agent in shown.values() for each in agent.limiters}
+            away = [name for name in self.limiter_names if links.get(name) != "answering"]
+            if not away:
+                return
+            if time.monotonic() > ends:
+                raise TrialError(f"no agent met {', '.join(away)} within {within:g} s; {self._last_words()}")
+            await asyncio.sleep(LOOK)
 
     async def up(self, within: float = UP_WITHIN) -> None:
         """Until all limiters take clients. Raises `TrialError`."""
@@ -344,7 +376,9 @@
         self.note("process", agent.child.name, "ends", code)
         if self._closed:
             return
-        if not agent.doomed and code != 0:
+        if agent.armed and code == -signal.SIGKILL and not agent.block.armed:
+            agent.armed = False
+        elif not agent.doomed and code != 0:
             self.bench.failure(self.at(), agent.child.name, f"it ended with {code}, and nobody had ended it")
         if not agent.held_down:
             self._timers.append(self.loop.call_later(AGENT_AGAIN, self._spawn, self._start_agent(agent)))
@@ -389,9 +423,10 @@
             try:
                 process = Stranger(member.block.pid, lambda member=member: self._limiter_ended(member))  # type: ignore[misc]
             except ProcessLookupError:
-                self.bench.failure(self.at(), name, "it ended as soon as it had begun")
+                if member.block.pid not in member.unseen:
+                    self.bench.failure(self.at(), name, "it ended as soon as it had begun")
                 continue
-            member.life = Life(name, process)
+            member.life = Life(name, process, member.block.clock_ms)
             member.lives.append(member.life)
             self.bench.limiter_began(self.at(), name)
             self.note("process", name, "begins", process.pid)
@@ -506,11 +541,13 @@
         for member in self.members:
             if member.life is None:
                 continue
-            pid, name = member.life.process.pid, f"n{member.number}"
+            pid, name = member.life.process.pid, f"n{member.number}, life {len(member.lives)}"
             with contextlib.suppress(OSError, IndexError, ValueError):
-                self.bench.counted(self.at(), f"{name}'s descriptors", len(os.listdir(f"/proc/{pid}/fd")))
+                descriptors = len(os.listdir(f"/proc/{pid}/fd"))
                 pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-                self.bench.counted(self.at(), f"{name}'s memory in 64 KiB", pages // 16)
+                if pages:  # none are left of one that is just ending
+                    self.bench.counted(self.at(), f"{name}: descriptors", descriptors)
+                    self.bench.counted(self.at(), f"{name}: memory in 64 KiB", pages // 16)
 
     # Power
 
@@ -524,11 +561,15 @@
         self.relays.befall("cut", pairs)
         for agent in agents:
             self.agent_processes[agent].held_down = True
-        for name in names[: len(limiters) + len(agents)]:
+        for name in names[len(limiters) : len(limiters) + len(agents)] + names[: len(limiters)]:
             self.signal(name, signal.SIGKILL, "its power was lost")
         for agent in agents:
             await self.agent_processes[agent].child.end()
+        self._kill_unseen(limiters)
+        for agent in agents:
             durable = disk.load(self.seam_path(self.agent_names[agent]).with_suffix(".durable"))
+            if self.agent_processes[agent].lied:
+                self.agent_processes[agent].states += 1
             lost = disk.lose_power(self.home(agent), durable, self.rng if torn else None)
             self.note("power", self.agent_names[agent], f"lost of {', '.join(lost) or 'nothing'}")
         for uid in boxes:
@@ -543,6 +584,17 @@
         for agent in agents:
             await self._start_agent(self.agent_processes[agent])
 
+    def _kill_unseen(self, limiters: list[int]) -> None:
+        """An agent may have started one a moment ago, which no look at its seam has seen yet."""
+        seams = {str(self.seam_path(f"n{n}")): self.members[n] for n in limiters}
+        for pid in marked(self.mark):
+            with contextlib.suppress(OSError):
+                words = set(Path(f"/proc/{pid}/cmdline").read_text().split("\0"))
+                for seam, member in seams.items():
+                    if seam in words and (member.life is None or member.life.process.pid != pid):
+                        os.kill(pid, signal.SIGKILL)
+                        member.unseen.add(pid)
+
     async def restart_agent(self, agent: int, state: Path | None) -> None:
         """From another state of its folder: an old one, or none."""
         process = self.agent_processes[agent]
@@ -550,6 +602,7 @@
         self.signal(process.child.name, signal.SIGKILL, "its state was replaced")
         await process.child.end()
         disk.put_home(self.home(agent), state)
+        process.states += 1
         self.seam_path(process.child.name).with_suffix(".durable").unlink(missing_ok=True)
         await asyncio.sleep(AGENT_AGAIN)
         await self._start_agent(process)
--- a/elderlock/trial/relay.py
+++ b/elderlock/trial/relay.py
@@ -70,6 +70,7 @@
         return True  # the other direction goes on
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None  # uvloop's says that it is not closing for a moment after its end, and raises at a word
         self.link.lost(self, exc)
 
     def pause_writing(self) -> None:
--- a/elderlock/trial/run.py
+++ b/elderlock/trial/run.py
@@ -6,9 +6,11 @@
 import json
 import shutil
 import time
+import traceback
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from elderlock.sim import judges as j
 from elderlock.sim.figures import Result
@@ -39,6 +41,8 @@
     processes: int
     start_s: float
     commands: list[tuple[str, int]]
+    zero: float  # ms of the run at which its schedule began
+    epoch: float  # Unix ms at which the run did
     unplayed: list[str] = field(default_factory=list)
 
     def verdict(self) -> str:
@@ -80,6 +84,16 @@
     return next((each for each in rest if each and not each.startswith(" ")), "an exception")[:200]
 
 
+def _said(context: dict[str, Any]) -> str:
+    """What the runner's own loop was told of: a stand-in, a relay or a judge that raised, and where."""
+    error = context.get("exception")
+    if not isinstance(error, BaseException):
+        return str(context["message"])
+    places = [place for place in traceback.extract_tb(error.__traceback__) if "elderlock" in place.filename]
+    where = f" in {places[-1].name}, line {places[-1].lineno} of {Path(places[-1].filename).name}" if places else ""
+    return f"{error!r}{where}"
+
+
 async def _rest(ground: Ground) -> dict[str, int]:
     """Waits until nothing is open and all records agree, for so long; returns what is left then."""
     ends = time.monotonic() + REST_WITHIN
@@ -97,14 +111,33 @@
         await asyncio.sleep(0.1)
 
 
-async def _sampled(ground: Ground) -> None:
+class Looks:
+    """What agents show of their records again and again: what one has shown it shows for good, or a newer one in its
+    place, also after a crash and after a loss of power. One whose state we took away begins anew."""
+
+    def __init__(self, ground: Ground, agreed: Agreed) -> None:
+        self._ground, self._agreed = ground, agreed
+        self._known: dict[str, set[str]] = {}
+
+    async def look(self) -> None:
+        for name, each in (await self._ground.shown()).items():
+            at, agent = self._ground.at(), self._ground.agent_processes[int(name[6:])]
+            who = f"{name}, state {agent.states}"
+            held = {f"{record.kind} {record.target}": record.generation for record in each.records}
+            known = self._known.setdefault(who, set())
+            known |= set(held)
+            self._agreed.seen += [(at, who, what, held.get(what, 0)) for what in known]
+
+
+async def _sampled(ground: Ground, looks: Looks) -> None:
     while True:
         await asyncio.sleep(SAMPLE_EVERY)
         if ground.clients is not None and not ground.clients.dry:
             ground.sample()
+        await looks.look()
 
 
-async def _schedule(ground: Ground, faults: TrialFaults) -> None:
+async def _schedule(ground: Ground, faults: TrialFaults, looks: Looks) -> None:
     s = ground.scenario
     for agent in range(s.agents):  # for restarts from an old state
         disk.copy_home(ground.home(agent), ground.folder / "old" / ground.agent_names[agent])
@@ -112,7 +145,7 @@
     timers = [
         ground.loop.call_later(fault.at_s, faults.begin, number, fault) for number, fault in enumerate(s.fault)
     ]
-    sampling = ground.loop.create_task(_sampled(ground))
+    sampling = ground.loop.create_task(_sampled(ground, looks))
     try:
         await asyncio.sleep(s.lasts_s)
         clients.dry = True
@@ -138,7 +171,7 @@
     ground = Ground(scenario, folder, mark, seed, flaw)
     agreed, ended, why = Agreed(ground.rules), "finished", ""
     ground.loop.set_exception_handler(
-        lambda loop, context: ground.failed.append(str(context.get("exception") or context["message"]))
+        lambda loop, context: ground.failed.append(_said(context))
     )
     faults = TrialFaults(ground)
     try:
@@ -146,8 +179,10 @@
         began = time.monotonic()
         await ground.start()
         start_s = time.monotonic() - began
-        await _schedule(ground, faults)
+        looks = Looks(ground, agreed)
+        await _schedule(ground, faults, looks)
         left = await _rest(ground)
+        await looks.look()
         digests = ground.digests(await ground.shown())
         failures_in_logs(ground)
         ends = ground.at()
@@ -170,11 +205,12 @@
     rest = j.Rest(ground.rules, lambda: left)
     agreement = j.Agreement(ground.rules, lambda: digests)
     verdict = history.judged(events, stalls, ground.rules, ends, (rest, agreement, agreed))
+    broken = [(each.rule, each.at, each.text) for each in verdict.broken]
     result = Result(
-        scenario.name, FLOOR, seed, ground.account.figures(), [(each.rule, each.at, each.text) for each in verdict.broken],
-        len(verdict.broken), "", len(events), ended, why, states, time.monotonic() - wall, ends / 1000.0,
+        scenario.name, FLOOR, seed, ground.account.figures(), broken, len(broken),
+        "", len(events), ended, why, states, time.monotonic() - wall, ends / 1000.0,
     )  # fmt: skip
     return Outcome(
         result, lateness.judged(stalls, ends), events, stalls, verdict.late, links, processes, start_s,
-        faults.commands, unplayable(scenario, FLOOR),
+        faults.commands, ground.zero, ground.epoch, unplayable(scenario, FLOOR),
     )  # fmt: skip
--- a/elderlock/trial/seam.py
+++ b/elderlock/trial/seam.py
@@ -134,6 +134,11 @@
         """At the next such step of its disk."""
         self._set("q", _KILL_AT, step)
 
+    @property
+    def armed(self) -> bool:
+        """`kill_at` or `kill_after` was told, and has not come yet."""
+        return int(self._get("q", _KILL_AT)) != Step.NONE or int(self._get("q", _KILL_AFTER)) >= 0
+
     def kill_after(self, steps: int) -> None:
         """After so many more steps of its disk, of whatever kind; -1 for never."""
         self._set("q", _KILL_AFTER, steps)
--- a/tests/load/test_runs.py
+++ b/tests/load/test_runs.py
@@ -15,11 +15,14 @@
 
 from elderlock.load import messages as m
 from elderlock.load.coordinator import Coordinator, LoadError, LocalLine
+from elderlock.load.pinging import ping
 from elderlock.load.report import Exit, Report
 from elderlock.load.scenario import parse
+from elderlock.load.targets import Front
 from elderlock.load.worker import Worker
 from elderlock.standins import delays
 from elderlock.standins.delays import Target
+from elderlock.standins.listener import reset
 from elderlock.standins.waiting import run, until
 
 TEXT = """
@@ -174,6 +177,29 @@
     run(test())
 
 
+def test_a_target_that_resets_the_pings_connection_is_asked_again() -> None:
+    async def test() -> None:
+        resets: list[asyncio.StreamWriter] = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while await reader.readline() and await reader.readline() and await reader.readline():
+                writer.write(b"+PONG\r\n")
+                if len(resets) < 3:
+                    await writer.drain()
+                    asyncio.get_running_loop().call_later(0.02, reset, writer)
+                    resets.append(writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        front = Front(1, 1.0)
+        asking = asyncio.ensure_future(ping(front, 0, server.sockets[0].getsockname(), 0.1, 1.0))
+        await until(lambda: len(resets) == 3 or asking.done())
+        assert not asking.done(), asking.exception()
+        asking.cancel()
+        server.close()
+
+    run(test())
+
+
 def test_a_target_that_is_not_ready_gets_nothing() -> None:
     async def test() -> None:
         target, other = await Target({"kind": "none"}).start(), await Target({"kind": "none"}).start()
