Let the real budget judge bite on a build that knows no budget, whatever the order of the tools

A build whose agents take their own vote for a majority was seen only where six tools met in one instant, which real processes do not do each time; the simulation keeps that one.

--- a/elderlock/trial/bites.py
+++ b/elderlock/trial/bites.py
@@ -37,7 +37,7 @@
         Agreed.name,
         scenario(agents=3, settings=Settings(budget=0.34), fault=tuple(
             Fault(1.0, "op-drain", f"box:{n}", by=6.0) for n in range(6)
-        )), flaws.grants_alone,
+        )), flaws.knows_no_budget,
     ),
     (
         Agreed.name, scenario(agents=1, fault=(Fault(0.5, "op-drain", "box:0"), Fault(2.5, "power", "agent:0"))),
--- a/elderlock/trial/flaws.py
+++ b/elderlock/trial/flaws.py
@@ -196,8 +196,14 @@
     patch.setattr(Keeper, "quorum", property(lambda self: 1))
 
 
+def knows_no_budget(patch: Patching) -> None:
+    from elderlock.rollout import ledger
+
+    patch.setattr(ledger, "reasons", lambda budget, inventory, held, going: [])
+
+
 FLAWS: dict[str, Flaw] = {flaw.__name__: flaw for flaw in (
     loses, tries_all_again, keeps_sending, knows_no_cold, knows_no_ceiling, lies_of_drains, raises, never_lets_go,
     forgets_no_timer, hears_no_other, learns_nothing, leaks_descriptors, keeps_what_is_over,
-    keeps_nothing, grants_alone,
+    keeps_nothing, grants_alone, knows_no_budget,
 )}  # fmt: skip
