--- a/elderlock/sim/judges.py
+++ b/elderlock/sim/judges.py
@@ -384,9 +384,27 @@
             self.breaks(at, f"after a rest they hold different records: {held}")
 
 
-class Bench:
+class Words:
+    """What judges hear, each taking what the `Judge` of that name does."""
+
+    asked: Callable[..., None]
+    answered: Callable[..., None]
+    excused: Callable[..., None]
+    sent: Callable[..., None]
+    ran: Callable[..., None]
+    told: Callable[..., None]
+    started: Callable[..., None]
+    spent: Callable[..., None]
+    limiter_began: Callable[..., None]
+    claimed: Callable[..., None]
+    failure: Callable[..., None]
+
+
+class Bench(Words):
     """All judges of a run, told as one."""
 
+    ended: Callable[..., None]
+
     def __init__(self, judges: list[Judge]) -> None:
         self.judges = judges
         self.counts: Counter[str] = Counter()
@@ -402,19 +420,6 @@
     def total(self) -> int:
         return sum(judge.count for judge in self.judges)
 
-    asked: Callable[..., None]
-    answered: Callable[..., None]
-    excused: Callable[..., None]
-    sent: Callable[..., None]
-    ran: Callable[..., None]
-    told: Callable[..., None]
-    started: Callable[..., None]
-    spent: Callable[..., None]
-    limiter_began: Callable[..., None]
-    claimed: Callable[..., None]
-    failure: Callable[..., None]
-    ended: Callable[..., None]
-
 
 def _all(hears: list[Callable[..., None]]) -> Callable[..., None]:
     def tell(*args: object) -> None:
--- a/elderlock/standins/network.py
+++ b/elderlock/standins/network.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import socket
+from collections.abc import Callable
 
 
 class _Relay(asyncio.DatagramProtocol):
@@ -22,7 +23,8 @@
     def __init__(self, limiters: int, seed: int, delay: float = 0.002, loss: float = 0.0) -> None:
         self.limiters, self.delay, self.loss = limiters, delay, loss
         self.cut: set[frozenset[int]] = set()
-        self.carried = 0
+        self.carried = self.dropped = 0
+        self.seen: Callable[[int, int, bytes], None] = lambda owner, receiver, data: None
         self._rng = random.Random(seed)
         self._relays: dict[tuple[int, int], asyncio.DatagramTransport] = {}
         self.listens: list[str] = []
@@ -54,16 +56,25 @@
     def everyone(self, owner: int) -> str:
         return self._at(owner, -1)
 
+    def waits(self, owner: int, receiver: int) -> list[float]:
+        """When (s) copies of a datagram on that way arrive: none where it is lost."""
+        lost = self._rng.random() < self.loss or frozenset((owner, receiver)) in self.cut
+        return [] if lost else [self.delay]
+
     def carry(self, owner: int, peer: int, data: bytes) -> None:
         for receiver in range(self.limiters) if peer < 0 else (peer,):
-            lost = self._rng.random() < self.loss or frozenset((owner, receiver)) in self.cut
-            if receiver != owner and not lost:
-                asyncio.get_running_loop().call_later(self.delay, self._arrive, owner, receiver, data)
+            if receiver == owner:
+                continue
+            waits = self.waits(owner, receiver)
+            self.dropped += not waits
+            for wait in waits:
+                asyncio.get_running_loop().call_later(wait, self._arrive, owner, receiver, data)
 
     def _arrive(self, owner: int, receiver: int, data: bytes) -> None:
         relay = self._relays[receiver, owner]
         if not relay.is_closing():
             self.carried += 1
+            self.seen(owner, receiver, data)
             host, _, port = self.listens[receiver].rpartition(":")
             relay.sendto(data, (host, int(port)))
 
--- a/elderlock/trial/faults.py
+++ b/elderlock/trial/faults.py
@@ -15,7 +15,7 @@
 from elderlock.standins.world import OPERATORS
 from elderlock.trial.ground import Ground
 from elderlock.trial.processes import Child, python
-from elderlock.trial.seam import Disk, Step
+from elderlock.trial.seam import Block, Disk, Step
 
 COMMAND_WITHIN = 15.0  # s that an operator's command may take
 DARK = 0.5  # s that a lost power stays away, where the fault does not say
@@ -153,17 +153,26 @@
         world.signal(name, signal.SIGSTOP, "")
         world.loop.call_later(lasts, world.signal, name, signal.SIGCONT, "")
 
-    async def _limiter_fault(self, fault: Fault, number: int) -> None:
-        world, name = self.world, f"n{number}"
+    def _process_fault(self, fault: Fault, name: str, block: Block) -> bool:
+        """What befalls limiters and agents alike; False for what does not."""
         match fault.what:
             case "kill":
-                world.signal(name, signal.SIGKILL, "it was killed")
+                self.world.signal(name, signal.SIGKILL, "it was killed")
             case "term":
-                world.signal(name, signal.SIGTERM, "it was asked to end")
+                self.world.signal(name, signal.SIGTERM, "it was asked to end")
             case "pause":
                 self._paused(name, fault.for_s or by_of(fault) / 1000.0)
             case "clock":
-                world.members[number].block.clock_ms += by_of(fault)
+                block.clock_ms += by_of(fault)
+            case _:
+                return False
+        return True
+
+    async def _limiter_fault(self, fault: Fault, number: int) -> None:
+        world, name = self.world, f"n{number}"
+        if self._process_fault(fault, name, world.members[number].block):
+            return
+        match fault.what:
             case "cut" | "cut-to" | "cut-from":
                 others = [*world.scenario.floor_names(), "discovery"]
                 self._befall(fault, "cut", cut_pairs(fault, f"m{number}", others))
@@ -175,15 +184,9 @@
     async def _agent_fault(self, fault: Fault, number: int) -> None:
         world, name = self.world, f"agent-{number}"
         agent = world.agent_processes[number]
+        if self._process_fault(fault, name, agent.block):
+            return
         match fault.what:
-            case "kill":
-                world.signal(name, signal.SIGKILL, "it was killed")
-            case "term":
-                world.signal(name, signal.SIGTERM, "it was asked to end")
-            case "pause":
-                self._paused(name, fault.for_s or by_of(fault) / 1000.0)
-            case "clock":
-                agent.block.clock_ms += by_of(fault)
             case "cut":
                 self._befall(fault, "cut", self._floor_fault_pairs(fault, name))
             case "power":
--- a/elderlock/trial/ground.py
+++ b/elderlock/trial/ground.py
@@ -124,7 +124,7 @@
         self.clients_place, self.tool_place = Place.of("clients"), Place.of("tool")
         self.discovery_place, self.counter_place = Place.of("discovery"), Place.of("counter", floor_name(0))
         self.datagrams = Datagrams(self.ways, self.limiter_places, random.Random(f"datagrams/{seed}"))
-        self.network = self.datagrams  # type: ignore[assignment]
+        self.network = self.datagrams
         self.bench = Recorder()
         self.account = Account(s.warm_s * 1000.0, s.service[0].aim_ms)
         self.members: list[Limiter] = []
@@ -384,13 +384,11 @@
         elif not agent.doomed and code != 0:
             self.bench.failure(self.at(), agent.child.name, f"it ended with {code}, and nobody had ended it")
         if not agent.held_down:
-            self._timers.append(self.loop.call_later(AGENT_AGAIN, self._spawn, self._start_agent(agent)))
+            self._timers.append(self.loop.call_later(AGENT_AGAIN, self._again, self._start_agent, agent))
 
-    def _spawn(self, work: Any) -> None:
-        if self._closed:
-            work.close()
-        else:
-            self.loop.create_task(work)
+    def _again(self, start: Callable[[Any], Any], which: Any) -> None:
+        if not self._closed:
+            self.loop.create_task(start(which))
 
     async def _start_limiter(self, member: Limiter) -> None:
         """Where no agent does."""
@@ -405,12 +403,12 @@
             }  # fmt: skip
             command = self.command_of(member.number)
             log = self.folder / f"{name}.log"
-            member.own = Child(name, command, self.mark, log, environ, lambda code: self._again(member))
+            member.own = Child(name, command, self.mark, log, environ, lambda code: self._ended(member))
         await member.own.start()
 
-    def _again(self, member: Limiter) -> None:
+    def _ended(self, member: Limiter) -> None:
         if not self._closed:
-            self._timers.append(self.loop.call_later(AGENT_AGAIN, self._spawn, self._start_limiter(member)))
+            self._timers.append(self.loop.call_later(AGENT_AGAIN, self._again, self._start_limiter, member))
 
     def _look(self) -> None:
         """At the seams: which limiters began."""
--- a/elderlock/trial/history.py
+++ b/elderlock/trial/history.py
@@ -40,7 +40,7 @@
         return f"{self.at / 1000.0:9.3f} s  {self.what:<14} {' '.join(str(each) for each in self.args)}"
 
 
-class Recorder:
+class Recorder(j.Words):
     """Hears what judges hear, in the same words, and keeps it."""
 
     def __init__(self) -> None:
@@ -61,17 +61,6 @@
     def in_order(self) -> list[Event]:
         return sorted(self.events, key=lambda event: event.at)
 
-    asked: Callable[..., None]
-    answered: Callable[..., None]
-    excused: Callable[..., None]
-    sent: Callable[..., None]
-    ran: Callable[..., None]
-    told: Callable[..., None]
-    started: Callable[..., None]
-    spent: Callable[..., None]
-    limiter_began: Callable[..., None]
-    claimed: Callable[..., None]
-    failure: Callable[..., None]
     undrained: Callable[..., None]
     ceiling: Callable[..., None]
     counted: Callable[..., None]
--- a/elderlock/trial/relay.py
+++ b/elderlock/trial/relay.py
@@ -17,6 +17,7 @@
 from pathlib import Path
 from typing import Protocol, cast
 
+from elderlock.standins.network import Network
 from elderlock.trial.weather import Place, Stream, Ways, Weather, datagram
 
 BACKLOG = 1024
@@ -366,73 +367,17 @@
             link.end(hard=True)
 
 
-class Datagrams(asyncio.DatagramProtocol):
-    """The ways between limiters: `at[a, b]` is where a sends what shall come to b (None for everyone), and from where
-    what b sends comes to a."""
+class Datagrams(Network):
+    """The ways between limiters, under the weather that is between their places."""
 
     def __init__(self, ways: Ways, places: list[Place], rng: random.Random, delay: float = 0.0005) -> None:
         """`delay` s that each takes in clear weather."""
-        self._ways, self._places, self._rng, self._delay = ways, places, rng, delay
-        self._relays: dict[tuple[int, int], asyncio.DatagramTransport] = {}
-        self.listens: list[str] = []
-        self.carried = self.dropped = 0
-        self.seen: Callable[[int, int, bytes], None] = lambda owner, receiver, data: None
-
-    async def open(self) -> None:
-        loop, hosts = asyncio.get_running_loop(), random.SystemRandom()
-        count = len(self._places)
-        for owner in range(count):
-            host = f"127.{hosts.randrange(1, 255)}.{hosts.randrange(1, 255)}.{hosts.randrange(1, 255)}"
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-                probe.bind((host, 0))
-                self.listens.append("%s:%d" % probe.getsockname())
-            for peer in (*range(count), -1):
-                if peer != owner:
-                    transport, _ = await loop.create_datagram_endpoint(
-                        lambda owner=owner, peer=peer: _From(self, owner, peer),  # type: ignore[misc]
-                        local_addr=("127.0.0.1", 0),
-                    )
-                    self._relays[owner, peer] = transport
-
-    def _at(self, owner: int, peer: int) -> str:
-        host, port = self._relays[owner, peer].get_extra_info("sockname")
-        return f"{host}:{port}"
-
-    def peers(self, owner: int) -> list[str]:
-        return [self.listens[owner] if n == owner else self._at(owner, n) for n in range(len(self._places))]
-
-    def everyone(self, owner: int) -> str:
-        return self._at(owner, -1)
-
-    def carry(self, owner: int, peer: int, data: bytes) -> None:
-        for receiver in range(len(self._places)) if peer < 0 else (peer,):
-            if receiver == owner:
-                continue
-            weather = self._ways.weather(self._places[owner], self._places[receiver])
-            waits = datagram(weather, self._rng)
-            self.dropped += not waits
-            for wait in waits:
-                asyncio.get_running_loop().call_later(wait + self._delay, self._arrive, owner, receiver, data)
-
-    def _arrive(self, owner: int, receiver: int, data: bytes) -> None:
-        relay = self._relays[receiver, owner]
-        if not relay.is_closing():
-            self.carried += 1
-            self.seen(owner, receiver, data)
-            host, _, port = self.listens[receiver].rpartition(":")
-            relay.sendto(data, (host, int(port)))
-
-    def close(self) -> None:
-        for relay in self._relays.values():
-            relay.close()
-
-
-class _From(asyncio.DatagramProtocol):
-    def __init__(self, datagrams: Datagrams, owner: int, peer: int) -> None:
-        self._datagrams, self._owner, self._peer = datagrams, owner, peer
+        super().__init__(len(places), 0, delay)
+        self._ways, self._places, self._rng = ways, places, rng
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        self._datagrams.carry(self._owner, self._peer, data)
+    def waits(self, owner: int, receiver: int) -> list[float]:
+        weather = self._ways.weather(self._places[owner], self._places[receiver])
+        return [wait + self.delay for wait in datagram(weather, self._rng)]
 
 
 def listening_tcp() -> set[tuple[str, int]]:
--- a/elderlock/trial/weather.py
+++ b/elderlock/trial/weather.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-KINDS = ("cut", "late", "loss", "duplicate", "reorder", "trickle")
 PIECE = 0.01  # s between the pieces of a trickle
 
 
