--- a/elderlock/trial/bites.py
+++ b/elderlock/trial/bites.py
@@ -35,8 +35,9 @@
     ),
     (
         Agreed.name,
-        scenario(agents=3, settings=Settings(budget=0.34), fault=tuple(
-            Fault(1.0, "op-drain", f"box:{n}", by=6.0) for n in range(6)
+        # one may be out: the tool's own plan lets two of six go, also where one tool comes after the other
+        scenario(agents=3, settings=Settings(budget=0.17), fault=(
+            Fault(0.5, "op-drain", "box:0", by=12.0), Fault(0.5, "op-drain", "box:1", by=12.0)
         )), flaws.knows_no_budget,
     ),
     (
