--- a/elderlock/fleet/keeper.py
+++ b/elderlock/fleet/keeper.py
@@ -167,8 +167,11 @@
             while pending and round.phase is phase:
                 done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
                 for task in done:
-                    if task.exception() is not None:
+                    error = task.exception()
+                    if isinstance(error, NotSentError | NoAnswerError):
                         round.away(asked[task])
+                    elif error is not None:
+                        raise error
                     else:
                         self._taken(round, asked[task], task.result(), take)
         finally:
