Decide without I/O who may vote after its start; keep docs to what the code does

Read again: the choice between waiting, voting and reading the register stood in the agent's shell; it is register.joining now, with tests of its own (also that what is read has one of each majority). Out: four things that nobody used. A permit that somebody else gave back is no longer kept in mind.

--- a/elderlock/fleet/keeper.py
+++ b/elderlock/fleet/keeper.py
@@ -23,7 +23,7 @@
 from elderlock.rollout import ledger as ledgers
 from elderlock.rollout.budget import Budget, Inventory, spent
 from elderlock.rollout.ledger import Ledger, LedgerError, Permit
-from elderlock.rollout.register import Acceptor, Ballot, Phase, Round, Vote
+from elderlock.rollout.register import Acceptor, Ballot, Join, Phase, Round, Vote, joining, to_read
 
 VOTE_WITHIN = 0.5  # s that one voter has to answer
 CHANGE_WITHIN = 2.0  # s that a change is tried for
@@ -274,20 +274,12 @@
         make = lambda id: f.Recall(id, self._owner.name)  # noqa: E731
         asks = [ways[name].ask(make, VOTE_WITHIN) for name in others if name in ways]
         answers = [each for each in await _all(asks) if isinstance(each, f.Recalled)]
-        seen = max((Ballot(*each.seen) for each in answers), default=Ballot())
-        if self._remembers and seen <= self._acceptor.promised:
-            self.why = f"{len(answers)} others have answered, {self.quorum - 1} have to"
-            return len(answers) >= self.quorum - 1
-        if not self._remembers and all(each.empty for each in answers):
-            # a group that has never agreed on anything: whoever could tell of something has to be asked. To read the
-            # register through others meanwhile would make them promise, and all would wait for one another for ever
-            self.why = f"nothing was agreed on yet, as {len(answers)} of {len(others)} others say"
-            return len(answers) == len(others)
-        # its votes are lost: what it may have accepted is read through so many others that every majority it was in has
-        # one of them, and written back to them under a ballot that stops whatever is under way
-        self.why = "it has lost its votes, and reads them through the others"
-        enough = len(self.voters) - self.quorum + 1
-        round = await self._round(lambda value: value, others, enough)
+        told = [(Ballot(*each.seen), each.empty) for each in answers]
+        do, self.why = joining(len(self.voters), self._remembers, self._acceptor.promised, told)
+        if do is not Join.READ:
+            return do is Join.VOTE
+        # written back to those that it is read through, under a ballot that stops whatever is under way
+        round = await self._round(lambda value: value, others, to_read(len(self.voters)))
         if round.phase is not Phase.CHOSEN:
             return False
         try:
@@ -303,6 +295,8 @@
     async def _tend(self) -> None:
         while True:
             await asyncio.sleep(TEND_EVERY * self._rng.uniform(0.5, 1.0))
+            # one that somebody else gave back is forgotten
+            self._unused = {each: since for each, since in self._unused.items() if each in self.ledger.permits}
             try:
                 for permit in self.ledger.permits:
                     await self._look(permit)
--- a/elderlock/rollout/register.py
+++ b/elderlock/rollout/register.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from enum import Enum
 from typing import NamedTuple
 
@@ -57,6 +57,37 @@
         return Vote(True, ballot)
 
 
+class Join(Enum):
+    """What an agent that does not vote yet has to do."""
+
+    WAIT = "wait"
+    VOTE = "vote"
+    READ = "read"  # the register through the others first: its votes are lost
+
+
+def joining(
+    voters: int, remembers: bool, promised: Ballot, answers: Sequence[tuple[Ballot, bool]]
+) -> tuple[Join, str]:
+    """Whether one of so many voters may vote after its start, and why not yet. `answers` of others: the greatest ballot
+    that they saw it promise, and whether they never accepted anything."""
+    others, needed = voters - 1, voters // 2
+    if remembers and all(seen <= promised for seen, _ in answers):
+        enough = len(answers) >= needed
+        return (Join.VOTE if enough else Join.WAIT), f"{len(answers)} others have answered, {needed} have to"
+    if not remembers and all(empty for _, empty in answers):
+        # a group that has never agreed on anything: whoever could tell of something has to be asked. To read the
+        # register through others meanwhile would make them promise, and all would wait for one another for ever
+        said = f"nothing was agreed on yet, as {len(answers)} of {others} others say"
+        return (Join.VOTE if len(answers) == others else Join.WAIT), said
+    return Join.READ, "it has lost its votes, and reads them through the others"
+
+
+def to_read(voters: int) -> int:
+    """Through how many others a register is read by one that has lost its votes, so that every majority that it was
+    part of has one of them."""
+    return voters - voters // 2
+
+
 class Phase(Enum):
     PREPARE = "prepare"
     ACCEPT = "accept"
--- a/elderlock/trial/disk.py
+++ b/elderlock/trial/disk.py
@@ -1,7 +1,7 @@
 """A child's disk: the seam of `fleet.host` with a disk that fails on command, and an account of what was synced.
 
-What would survive a power loss is kept beside the real files: a file's content counts from its sync, its name from the
-sync of its folder, a transaction from its commit. After a power loss the runner puts that state in the real one's
+What would survive a power loss is kept beside the real files: a file that was synced and renamed counts from the next
+transaction on, a transaction from its commit. After a power loss the runner puts that state in the real one's
 place; a last write may be torn, so that a part of what was on its way is there as well.
 """
 
--- a/elderlock/trial/faults.py
+++ b/elderlock/trial/faults.py
@@ -111,7 +111,7 @@
             case what:
                 self._befall(fault, what, [(source, target)], by_of(fault))
 
-    def _floor_fault_pairs(self, fault: Fault, name: str) -> list[tuple[str, str]]:
+    def _from_floors(self, fault: Fault, name: str) -> list[tuple[str, str]]:
         return cut_pairs(fault, name, self.world.scenario.floor_names())
 
     async def _floor_fault(self, fault: Fault, floor: str) -> None:
@@ -119,7 +119,7 @@
         boxes = [uid for uid, box in world.listing.boxes.items() if box.floor == floor]
         match fault.what:
             case "cut" | "cut-to" | "cut-from":
-                self._befall(fault, "cut", self._floor_fault_pairs(fault, floor))
+                self._befall(fault, "cut", self._from_floors(fault, floor))
             case "late":
                 floors = s.floor_names()
                 pairs = [(floor, other) for other in floors] + [(other, floor) for other in floors if other != floor]
@@ -188,7 +188,7 @@
             return
         match fault.what:
             case "cut":
-                self._befall(fault, "cut", self._floor_fault_pairs(fault, name))
+                self._befall(fault, "cut", self._from_floors(fault, name))
             case "power":
                 await self._power(fault, [], [number], [])
             case "old-state" | "no-state":
--- a/elderlock/trial/ground.py
+++ b/elderlock/trial/ground.py
@@ -96,7 +96,6 @@
     lied: bool = False  # its disk said of a sync that it was done, and it was not
     armed: bool = False  # to be killed at a step of its disk, in this life or a later one
     held_down: bool = False  # started again by whoever holds it down
-    starts: int = 0
     states: int = 0  # how often what it had kept was taken away by us
 
 
@@ -371,7 +370,6 @@
         if self._closed or agent.child.alive:
             return
         agent.doomed, agent.held_down = "", False
-        agent.starts += 1
         await agent.child.start()
         self.note("process", agent.child.name, "begins", agent.child.pid)
 
--- a/elderlock/trial/history.py
+++ b/elderlock/trial/history.py
@@ -113,17 +113,15 @@
 
     broken: list[j.Broken]
     late: list[j.Broken]
-    worst_over: float  # units over a ceiling's burst and rate, at the most
 
     def rules(self) -> list[str]:
         return sorted({each.rule for each in self.broken})
 
 
 class Court:
-    """All judges of a real run. `even_rules` are judged by time without stand-stills, `rates` by the clock."""
+    """All judges of a real run: those of times by time without stand-stills, those of rates by the clock."""
 
     def __init__(self, rules: j.Rules, stalls: Sequence[Stall]) -> None:
-        self.stalls = list(stalls)
         own = [stall for stall in stalls if not stall.who]
         self._evens: dict[str, Even] = {"": Even(own)}
         for who in {stall.who for stall in stalls if stall.who}:
@@ -186,7 +184,7 @@
             for each in judge.broken:
                 held_up = rate and self._near(each.at)
                 (late if held_up else broken).append(each)
-        return Verdict(sorted(broken, key=_at), sorted(late, key=_at), self.ceilings.worst)
+        return Verdict(sorted(broken, key=_at), sorted(late, key=_at))
 
     def _near(self, at: float) -> bool:
         return any(even.stood(at, NEAR) >= HEAP for even in self._evens.values())
--- a/elderlock/trial/parting.py
+++ b/elderlock/trial/parting.py
@@ -1,9 +1,9 @@
 """Where a real run and the simulation of the same schedule part: what happened in each, lane by lane, told in words
 that do not hang on time, and the first event at which two lanes differ. No I/O.
 
-A lane is one concern of one process: its starts and ends, what it heard of a box, a command's end, the rules broken. A
-real machine and a simulated one never send the same bytes at the same microsecond; that they do the same things in the
-same order, process by process, is what can be held against each other.
+A lane is one concern: what a limiter heard of a box, the faults as they began, the rules broken. A real machine and a
+simulated one never send the same bytes at the same microsecond; that lists, faults and verdicts come in the same order,
+lane by lane, is what can be held against each other.
 """
 
 from __future__ import annotations
--- a/elderlock/trial/processes.py
+++ b/elderlock/trial/processes.py
@@ -1,5 +1,5 @@
-"""Real processes of a group: started apart, watched to their end, swept up however the run ends. The one way in which
-`elderlock up`, `elderlock trial`, benchmarks and tests start an agent, a limiter or a tool."""
+"""Real processes of a group: started apart, watched to their end, swept up however the run ends. So start what they
+need `elderlock up`, `elderlock load up` and trials; tests of a lone limiter start that by themselves."""
 
 from __future__ import annotations
 
--- a/elderlock/trial/run.py
+++ b/elderlock/trial/run.py
@@ -7,7 +7,6 @@
 import shutil
 import time
 import traceback
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -162,11 +161,10 @@
 
 
 async def play(
-    scenario: Scenario, folder: Path, mark: str, seed: int = 1, flaw: str = "", keep: Path | None = None,
-    more: Callable[[Ground, Agreed], None] = lambda ground, agreed: None,
+    scenario: Scenario, folder: Path, mark: str, seed: int = 1, flaw: str = "", keep: Path | None = None
 ) -> Outcome:
-    """`folder` is empty and the run's own; with `keep` what shows what happened is copied there. `more` may tell the
-    checker of what is agreed before it is asked. Raises `TrialError`, with who waited for what."""
+    """`folder` is empty and the run's own; with `keep` what shows what happened is copied there. Raises `TrialError`,
+    with who waited for what."""
     wall = time.monotonic()
     ground = Ground(scenario, folder, mark, seed, flaw)
     ended, why = "finished", ""
@@ -187,7 +185,6 @@
         digests = ground.digests(await ground.shown())
         failures_in_logs(ground)
         ends = ground.at()
-        more(ground, agreed)
         if ground.failed:  # a stand-in, a relay or a judge, not the code under test
             ended, why = "failed", "; ".join(ground.failed[:3])
         links = sum(relay.taken for relay in ground.relays.all)
--- a/tests/rollout/test_decisions.py
+++ b/tests/rollout/test_decisions.py
@@ -13,7 +13,7 @@
 from elderlock.rollout.budget import Budget, Inventory, Item, Limits, reasons, spent
 from elderlock.rollout.inventory import Known, inventory
 from elderlock.rollout.ledger import Ledger, LedgerError, Permit, above, decode, encode, give_back, grant, stands
-from elderlock.rollout.register import Acceptor, Ballot, Phase, Round
+from elderlock.rollout.register import Acceptor, Ballot, Join, Phase, Round, joining, to_read
 from elderlock.standins.limiters import box, state
 
 BOXES = tuple(Item(f"s-{n}", f"floor-{n % 3}", "std" if n % 2 else "old", 2.0) for n in range(6))
@@ -123,6 +123,25 @@
     assert phase_of(round) is Phase.OUTBID
 
 
+def test_who_has_just_begun_votes_once_enough_others_saw_it_promise_no_more_than_it_remembers() -> None:
+    mine, more = Ballot(5, "a"), Ballot(6, "b")
+    known, newer, new = (mine, False), (more, False), (Ballot(), True)
+    assert joining(3, True, mine, [])[0] is Join.WAIT and joining(3, True, mine, [known])[0] is Join.VOTE
+    assert joining(5, True, mine, [known])[0] is Join.WAIT and joining(5, True, mine, [known] * 2)[0] is Join.VOTE
+    assert joining(3, True, mine, [known, newer])[0] is Join.READ  # its store is an old copy
+    assert joining(3, False, Ballot(), [new])[0] is Join.WAIT and joining(3, False, Ballot(), [new] * 2)[0] is Join.VOTE
+    assert joining(3, False, Ballot(), [new, known])[0] is Join.READ  # its store is lost
+
+
+@pytest.mark.parametrize("voters", [2, 3, 4, 5])
+def test_a_register_is_read_through_one_of_each_majority(voters: int) -> None:
+    others = range(1, voters)
+    majority = voters // 2 + 1
+    for read in itertools.combinations(others, to_read(voters)):
+        for rest in itertools.combinations(others, majority - 1):  # that it made a majority with
+            assert set(read) & set(rest)
+
+
 # The ledger
 
 
--- a/tests/trial/test_processes.py
+++ b/tests/trial/test_processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import signal
 import socket
@@ -164,7 +165,7 @@
     outcome = played(scenario(fault=faults))
     assert outcome.verdict() != "broken", outcome.text()
     digests = [event.args[0] for event in outcome.events if event.what == "digests"][-1]
-    assert dict(outcome.commands)["drain s-03"] == 0 and len(set(eval(digests).values())) == 1
+    assert dict(outcome.commands)["drain s-03"] == 0 and len(set(json.loads(digests).values())) == 1
 
 
 def test_wires_that_are_late_trickle_reset_and_half_closed_break_no_rule() -> None:
