Play releases in simulated time, with a judge for each guarantee and builds that each bites on

Need: a release is right only if it is so for every order of kills, cuts and words; real processes show a few of them.

Change: sim/rollouts.py plays the agents as they ship over modelled limiters that speak the real control socket. Judged from outside: limiters out by our doing against the budget, two ledgers of one version, a limiter ended while it serves or taken to a version after the plan was halted or turned, a plan that does not end.

Found by it and mended: on the way back limiters that crash and come back could be taken out more at once than the budget allows, as each was out when its permit was asked for (`grant` counted them as free); a way back halted on an agent that was silent, and now takes back what it can meanwhile; a trial that fell silent was passed on its old figures.

--- a/elderlock/rollout/leading.py
+++ b/elderlock/rollout/leading.py
@@ -113,7 +113,7 @@
         if plan.state != "running":
             self.waits = (f"an operator: {plan.why}",)
             return None
-        mine = [unit for unit in plan.units if unit.wave == plan.wave()]
+        mine = self._under_way(plan, told)
         if not mine:
             return Move("close")
         for unit in plan.units:
@@ -126,6 +126,16 @@
             return move
         return self._send(plan, mine, told, now)
 
+    def _under_way(self, plan: Plan, told: Mapping[str, Told]) -> list[Unit]:
+        """The units of the wave that is due. On the way back one that nothing is heard of holds up no other: what can
+        be taken back is, under the same budget."""
+        wave = plan.wave()
+        if plan.aim == "back":
+            left = [unit for unit in plan.units if unit.stage != "done"]
+            heard = [unit.wave for unit in left if not _silent(told.get(unit.target))]
+            wave = min(heard, default=wave)
+        return [unit for unit in plan.units if unit.wave <= wave and (unit.stage != "done" or unit.wave == wave)]
+
     def _age(self, unit: Unit, now: float) -> float:
         return now - self._since[unit.target, unit.aim, unit.stage, unit.generation]
 
@@ -136,9 +146,10 @@
                 continue
             each = told.get(unit.target)
             way = "on the way back, " if unit.aim == "back" else ""
-            if each is None or each.age < 0 or each.age > SILENT_AFTER:
-                if self._age(unit, now) > SILENT_AFTER and unit.stage != "done":
-                    return f"{way}too little is known: nothing was heard of {unit.target} for {SILENT_AFTER / 1000:g} s"
+            if each is None or _silent(each):
+                # the way back waits for it: to stop there would leave more on a version that nobody wants
+                if self._age(unit, now) > SILENT_AFTER and unit.stage != "done" and unit.aim == "to":
+                    return f"too little is known: nothing was heard of {unit.target} for {SILENT_AFTER / 1000:g} s"
                 continue
             if each.generation == unit.generation and each.stage == "failed":
                 return f"{way}{unit.target}: {each.why}"
@@ -167,7 +178,8 @@
 
     def _judged(self, plan: Plan, trial: list[Unit], told: Mapping[str, Told], now: float) -> Move | None:
         terms = plan.terms
-        waits = [unit.target for unit in trial if not (e := told.get(unit.target)) or not e.serving]
+        # nobody is passed on what was heard of it before it fell silent
+        waits = [u.target for u in trial if not (e := told.get(u.target)) or not e.serving or _silent(e)]
         if waits:
             if max(self._age(unit, now) for unit in trial if unit.target in waits) > 1000.0 * terms.start_within:
                 return Move("halt", (), f"{', '.join(waits)} does not serve, {terms.start_within:g} s after it may")
@@ -259,6 +271,10 @@
         self.waits = ()
 
 
+def _silent(told: Told | None) -> bool:
+    return told is None or told.age < 0 or told.age > SILENT_AFTER
+
+
 def _at(series: Iterable[tuple[float, Figures]], at: float) -> Figures:
     """The last figures told up to then, or the first."""
     found: Figures | None = None
--- a/elderlock/rollout/steps.py
+++ b/elderlock/rollout/steps.py
@@ -83,8 +83,7 @@
     ledger: Ledger, id: str, who: str, term: int, targets: Sequence[str], budget: Budget, inventory: Inventory,
     generation: int, at: float,
 ) -> Step:  # fmt: skip
-    """Takes out what waits, under permits: all of these or none. One that does not serve anyway needs the budget's word
-    no more than anything that mends."""
+    """Takes out what waits, under permits: all of these or none."""
     plan = _led(ledger, id, who, term)
     if isinstance(plan, list):
         return plan
@@ -100,8 +99,12 @@
         if held is not None and held.origin.startswith(f"{plan.id}/"):
             # on its way when the plan turned: what it had is given up for its own new permit
             new = msgspec.structs.replace(new, permits=tuple(p for p in new.permits if p is not held))
+        # one that is out against our will is mended whatever else is out so; but it may be back a moment later, so by
+        # our own doing no more go at once than the budget allows
+        mends = any(item.name == target and item.out for item in inventory.of(kind_of(plan)))
+        known = _nothing_out(inventory) if mends else inventory
         made = grant(
-            new, [(kind_of(plan), target)], budget, inventory, plan.origin(unit), plan.by, _reason(plan), generation, at
+            new, [(kind_of(plan), target)], budget, known, plan.origin(unit), plan.by, _reason(plan), generation, at
         )
         if isinstance(made, list):
             return made
@@ -118,6 +121,14 @@
     return _with(new, plan)
 
 
+def _nothing_out(inventory: Inventory) -> Inventory:
+    """As if all that no permit is out for served."""
+    return Inventory(
+        tuple(item._replace(out="") for item in inventory.boxes),
+        tuple(item._replace(out="") for item in inventory.limiters),
+    )
+
+
 def _reason(plan: Plan) -> str:
     what = f"release {plan.version or 'of the files'}" if plan.kind == "release" else "drain"
     return f"{what} {plan.id[:8]}" + (f": {plan.reason}" if plan.reason else "")
--- a/elderlock/sim/rollouts.py
+++ b/elderlock/sim/rollouts.py
@@ -26,7 +26,7 @@
 from elderlock.sim.agreed import Act, Holding, bounded, fenced, never_back
 from elderlock.sim.scenario import Scenario, Settings
 from elderlock.sim.shells import ShellWorld
-from elderlock.sim.virtual.processes import CURRENT, Machine, Process, start
+from elderlock.sim.virtual.processes import CURRENT, Machine, Process, context_of, start
 from elderlock.standins.limiters import box, state
 from elderlock.standins.waiting import unix_ms
 
@@ -35,6 +35,11 @@
 TIME_SD = 0.9  # of the logarithm of a time to answer
 BIAS_SD = 0.03  # by which limiters differ for good
 SETTLED_WITHIN = 240.0  # s after all is healed, for a plan to be over or halted, and again for the way back
+FLOOR_AWAY = 40.0  # s
+GONE_FOR = 150.0  # s
+ASLEEP, AND_CUT = 40.0, 20.0  # s that a sleeper sleeps, and hears nothing once it is awake
+TAKEN_OVER_WITHIN = 20.0  # s
+SLACK = 1000.0  # ms after a halt or a turn in which what was under way may still begin
 VERSION = "v2"
 
 
@@ -68,7 +73,10 @@
     """What is played. `rate` of requests a second at each limiter; `rush`: from when on, for 40 s, all of them are
     asked for three times as much, answer slower and refuse some. `faults`: how many befall agents and limiters in the
     first `faulty_s`. `words`: how many an operator says besides. `lone_floor_at`: a whole floor's agents and limiters
-    die."""
+    die. `leader_gone`: s after which the agent that leads dies and does
+    not come back for a long time. `sleeper`: the first agent that is to take something out is stopped at that moment
+    and wakes 40 s later, when the plan has been taken back, and hears nothing for some time more. `one_wave`: all are
+    to go at once, as far as the budget lets."""
 
     agents: int = 5
     limiters: int = 10
@@ -84,6 +92,9 @@
     share: float = 0.34
     terms: Terms = TERMS
     lone_floor_at: float | None = None
+    leader_gone: float | None = None
+    one_wave: bool = False
+    sleeper: bool = False
 
 
 @dataclass
@@ -191,6 +202,9 @@
         self._acts: list[Act] = []
         self._shown: list[tuple[float, str, str, int]] = []
         self._ledgers: dict[int, object] = {}
+        self._turned_at = 0.0  # when the plan was seen to be halted or turned
+        self._slept = not case.sleeper
+        self._gone: set[int] = set()  # agents that are held down
 
     def say(self, text: str) -> None:
         if self._log_on:
@@ -220,8 +234,9 @@
         version = environ["ELDERLOCK_VERSION"]
         build = BUILDS[self.case.build] if version else BUILDS["good"]
         process = self.limiters[int(name[1:])] = self.process(name, self.machines[int(name[1:])], environ)
-        if version:
+        if version and name not in self.made.ran:
             self.made.ran.add(name)
+            self._first_start(name)
         self.say(f"{name} begins on {version or 'the version of the files'}")
 
         async def main() -> int:
@@ -249,6 +264,18 @@
         start(self.loop, process, main)
         return process
 
+    def _first_start(self, name: str) -> None:
+        """On the new version. Whoever takes it there after the plan was halted or turned acts on what does not
+        stand."""
+        plan = self._newest()
+        self._note(plan)
+        if plan is not None and (plan.state != "running" or plan.aim == "back"):
+            late = self.at() - self._turned_at
+            if late > SLACK:
+                self.made.after_fence += 1
+                what = f"{name} was taken to {VERSION} {late:.0f} ms after the plan was {plan.state}, {plan.aim}"
+                self.made.broken.append(f"{self.at():.0f} ms: {what}")
+
     def _crash(self, process: Process) -> None:
         if process.alive:
             self._doomed.add(process.pid)
@@ -308,6 +335,9 @@
                         text = f"two ledgers of version {ledger.version}, the second at {name}"
                         world.made.broken.append(f"{world.at():.0f} ms: {text}")
                     learn(ledger)
+                    if not world._slept and ledger.plans:
+                        # outside of the agent, as what it schedules sleeps with it
+                        context_of(None).run(world._put_to_sleep, name, ledger.plans[-1])
 
                 keeper.learn = learnt
 
@@ -323,13 +353,16 @@
         began = self.at()
         terms = case.terms
         ids = [f"{self.seed:08x}{n}" for n in range(2)]
-        make = operate.begin(ids[0], "release", VERSION, (), (), _with_back(terms, case.auto_back), "")
+        waves = [self._names()] if case.one_wave else []
+        make = operate.begin(ids[0], "release", VERSION, (), waves, _with_back(terms, case.auto_back), "")
         asks: list[Awaitable[Any]] = [self._asks("an", make, f.Begun)]
         if case.two_operators:
             other = operate.begin(ids[1], "release", VERSION, (), (), _with_back(terms, case.auto_back), "")
             asks.append(self._asks("binh", other, f.Begun))
         for _ in range(case.faults):
             self.loop.call_later(rng.uniform(0.0, case.faulty_s), self._befall, rng.randrange(1 << 30))
+        if case.leader_gone is not None:
+            self.loop.call_later(case.leader_gone, self._leader_goes)
         if case.lone_floor_at is not None:
             self.loop.call_later(case.lone_floor_at, self._lose_floor)
         await asyncio.gather(*asks)
@@ -392,12 +425,17 @@
             self.agents[f"agent-{n}"].keeper.ledger  # type: ignore[union-attr]
             for n, process in self.agent_processes.items() if process.alive and f"agent-{n}" in self.agents
         ]  # fmt: skip
-        newest = max(ledgers, key=lambda ledger: ledger.version)
-        return newest.plans[-1] if newest.plans else None
+        newest = max(ledgers, key=lambda ledger: ledger.version, default=None)
+        return newest.plans[-1] if newest is not None and newest.plans else None
 
     async def _settled(self, began: float) -> Plan | None:
         """The plan once it is over, or halted after all is healed."""
-        heals = began / 1000.0 + (self.case.faulty_s if self.case.faults or self.case.words else 0.0) + 35.0
+        case = self.case
+        heals = began / 1000.0 + (case.faulty_s if case.faults or case.words else 0.0) + 35.0
+        if case.leader_gone is not None:
+            heals += case.leader_gone + GONE_FOR
+        if case.sleeper:
+            heals += ASLEEP + AND_CUT
         waves = 1 + self.case.limiters // max(1, self.most // 2)
         ends = heals + SETTLED_WITHIN + 70.0 * waves
         while True:
@@ -417,6 +455,9 @@
             return
         if not self.made.first_wave and plan.aim == "to":
             self.made.first_wave = {unit.target for unit in plan.units if unit.wave == 0}
+        before_it = self.made.plan
+        if before_it is None or (before_it.state, before_it.aim) != (plan.state, plan.aim):
+            self._turned_at = self.at()
         if self.made.plan is None or self.made.plan.term != plan.term:
             self.made.took_over = max(0, plan.term - 1)
         if self.made.plan != plan:
@@ -480,7 +521,7 @@
         rng = random.Random(seed)
         number = rng.randrange(self.case.agents)
         process, machine = self.agent_processes[number], self.agent_machine(number)
-        what = rng.choice(["kill", "pause", "pause", "cut", "cut", "one-way", "crash"])
+        what = rng.choice(["kill", "pause", "pause", "cut", "cut", "one-way", "crash", "disk", "clock"])
         lasts = rng.choice([0.5, 3.0, 9.0, 30.0])
         self.say(f"agent-{number} {what} {lasts:g} s")
         if what == "kill":
@@ -488,6 +529,11 @@
         elif what == "pause":
             self.signal(process, signal.SIGSTOP)
             self.loop.call_later(lasts, self.signal, process, signal.SIGCONT)
+        elif what == "disk":
+            machine.disk_fails = rng.choice(["full", "error"])
+            self.loop.call_later(lasts, setattr, machine, "disk_fails", "")
+        elif what == "clock":
+            machine.offset += rng.choice([-86_400_000.0, 3_600_000.0])
         elif what == "crash":
             limiter = self.limiters[rng.randrange(self.case.limiters)]
             if limiter is not None and limiter.alive:
@@ -503,9 +549,54 @@
             self.ways.separate(pairs)
             self.loop.call_later(lasts, self.ways.join, pairs)
 
+    def _put_to_sleep(self, name: str, plan: Plan) -> None:
+        """The agent of that name has just learnt of the plan as it stands."""
+        number = int(name[6:])
+        mine = [unit for unit in plan.units if unit.stage == "out" and int(unit.target[1:]) in self._share(number)]
+        if mine and name != plan.leader:
+            self._slept = True
+            self.say(f"{name} sleeps")
+            process = self.agent_processes[number]
+            self.signal(process, signal.SIGSTOP)
+            self.loop.call_later(ASLEEP, self.signal, process, signal.SIGCONT)
+            here = self.agent_machine(number).name
+            pairs = [(other, here) for n in range(self.case.agents) if (other := self.agent_machine(n).name) != here]
+            pairs += [(here, other) for other, _ in pairs]
+            self.ways.separate(pairs)
+            self.loop.call_later(ASLEEP + AND_CUT, self.ways.join, pairs)
+            self.loop.call_later(2.0, lambda: self.loop.create_task(self._says(plan, "back", plan.turn, "an")))
+
+    def _leader_goes(self) -> None:
+        plan = self._newest()
+        if plan is None or plan.state == "over":
+            return
+        number = int(plan.leader[6:])
+        self.say(f"{plan.leader}, which leads, is gone")
+        self._gone.add(number)
+        self.signal(self.agent_processes[number], signal.SIGKILL)
+        self.loop.call_later(GONE_FOR, self._comes_back, number)
+        self.loop.call_later(TAKEN_OVER_WITHIN, self._taken_over, plan)
+
+    def _taken_over(self, before: Plan) -> None:
+        plan = self._newest()
+        if plan is not None and plan.state == "running" and plan.term == before.term:
+            self.made.stuck += 1
+            self.made.broken.append(f"{self.at():.0f} ms: nobody leads in place of {before.leader}")
+
+    def _comes_back(self, number: int) -> None:
+        self._gone.discard(number)
+        self._start_agent(number)
+
+    def _again_agent(self, number: int) -> None:
+        if number not in self._gone:
+            super()._again_agent(number)
+
     def _lose_floor(self) -> None:
-        """All that runs on the first floor is gone; its machines come back 20 s later."""
+        """All that runs on the first floor is gone, and nothing is heard of it for a while."""
         floor = self.machines[0].floor
+        pairs = [(floor, "*"), ("*", floor)]
+        self.ways.separate(pairs)
+        self.loop.call_later(FLOOR_AWAY, self.ways.join, pairs)
         self.say(f"{floor} is lost")
         for number, process in self.agent_processes.items():
             if self.agent_machine(number).floor == floor:
