--- a/elderlock/cli/plans.py
+++ b/elderlock/cli/plans.py
@@ -131,7 +131,7 @@
     terms = Terms(
         **{name.replace("-", "_"): getattr(options, name.replace("-", "_")) for name, _, _ in TIMES},
         auto_back=options.auto_back,
-    ) if what != "drain" else Terms()  # fmt: skip
+    ) if what != "drain" else Terms(pause=0.0)  # fmt: skip
     dry = what != "start"
     if what == "drain":
         from elderlock.fleet.operate import box_steps, see
--- a/elderlock/fleet/conductor.py
+++ b/elderlock/fleet/conductor.py
@@ -36,6 +36,7 @@
 BEAT_EVERY = 1.5  # s between signs of life of a leader, in the ledger
 TAKE_OVER_AFTER = 5.0  # s without one, after which another agent leads ...
 TAKE_OVER_APART = 0.7  # ... s more for each agent that stands before it in the group's file
+MOST_HALTS = 20  # that are held of plans that nobody knows here
 MOST_AT_ONCE = 50  # steps of one look
 BOXES_EVERY = 0.5  # s between looks at how far the boxes of a drain are
 ASK_WITHIN = 1.0  # s that another agent has to answer
@@ -133,6 +134,8 @@
             self._owner.spread()
 
     def told_halts(self) -> tuple[tuple[str, int, str], ...]:
+        while len(self.halts) > MOST_HALTS:
+            del self.halts[next(iter(self.halts))]
         for id, (turn, _) in list(self.halts.items()):
             plan = self._keeper.ledger.plan(id)
             if plan is not None and (plan.turn > turn or plan.state == "over"):
@@ -246,9 +249,11 @@
             return await self._member(asked, by)
         plan = ledger.plan(asked.plan)
         if asked.action == "halt":
-            if plan is not None and plan.state == "running":
-                # in force here and, from the next word on, everywhere, whether or not a majority can be had
-                self.heard_halts([(plan.id, plan.turn, f"halt of {by}{reason}")])
+            if plan is None or plan.state == "running":
+                # in force here and, from the next word on, everywhere, whether or not a majority can be had; also of a
+                # plan that this agent has not learnt of yet, as its operator saw it elsewhere
+                turn = plan.turn if plan is not None else asked.turn
+                self.heard_halts([(asked.plan, turn, f"halt of {by}{reason}")])
             made = await self._keeper.change(lambda held: steps.halt(held, asked.plan, f"halt of {by}{reason}"))
         elif asked.action == "go-on":
             made = await self._keeper.change(lambda held: steps.go_on(held, asked.plan, asked.turn, by))
--- a/elderlock/fleet/operate.py
+++ b/elderlock/fleet/operate.py
@@ -128,7 +128,7 @@
     planned: Callable[[list[str]], None],
 ) -> Result:  # fmt: skip
     """A drain of several steps is the group's to carry out: the tool begins it and looks on."""
-    make = operate_plans.begin(os.urandom(16).hex(), "drain", "", order.targets, steps, Terms(), order.reason)
+    make = operate_plans.begin(os.urandom(16).hex(), "drain", "", order.targets, steps, Terms(pause=0.0), order.reason)
     left = None if ends is None else max(0.0, ends - asyncio.get_running_loop().time())
     begun = await operate_plans.ask_any(group, make, f.Begun, left)
     if begun.plan is None or begun.exit is not Exit.DONE:
