Keep limiters startable on a full disk, and know one that refuses all by a few answers

Read again: catch_up in Agent._release and set_version in Charge._spawn let a store that cannot write keep a limiter from starting; it starts as it last ran, and a changed version waits for the disk. A release to a version that refuses all went through where hardly anybody asked (LEAST_ANSWERS 60 in two seconds of bake): shares are weighed from 10 answers on.

--- a/elderlock/fleet/agent.py
+++ b/elderlock/fleet/agent.py
@@ -137,7 +137,10 @@
             away = [peer.name for peer in self.peers if not peer.met.is_set()]
             log.warning("limiters start without word from others", agent=self.name, others=away or ["all sockets"])
         if self.conductor is not None:
-            self.conductor.catch_up()
+            try:
+                self.conductor.catch_up()
+            except StoreError as error:  # a full disk must keep no limiter from starting as it last ran
+                self.store_failed(error)
         for charge in self.charges.values():
             charge.release()
 
--- a/elderlock/fleet/charge.py
+++ b/elderlock/fleet/charge.py
@@ -170,9 +170,10 @@
             return self.supervisor.hold(self._now() + HELD_BACK * 1000.0)
         try:
             launch = self._versions.launch(self.part, self.wanted)
-            # kept before it runs: an agent that dies now must not take the process for one of the version before
-            self._store.set_version(self.name, self.wanted, self.generation, self.wanted)
-            self.runs_on = self.wanted
+            if self.runs_on != self.wanted:
+                # kept before it runs: an agent that dies now must not take the process for one of the version before
+                self._store.set_version(self.name, self.wanted, self.generation, self.wanted)
+                self.runs_on = self.wanted
             environ = {
                 "PROXY_CONFIG": str(self._folder / launch.config),
                 "ELDERLOCK_OPERATORS": str(self._home / "operators.toml"),
@@ -181,7 +182,10 @@
             self.process = self._host.spawn(
                 launch.command, environ, self._folder / launch.directory, self._home / "log", self._exited
             )
-        except (OSError, FileError, StoreError) as error:
+        except StoreError as error:
+            self.boot_error = f"its version could not be kept: {error}"
+            return self.supervisor.hold(self._now() + HELD_BACK * 1000.0)
+        except (OSError, FileError) as error:
             self.boot_error = f"it cannot be started: {error}"
             log.error("limiter cannot be started", limiter=self.name, error=str(error))
             self._do(self.supervisor.exited(self._now()))
--- a/elderlock/fleet/conductor.py
+++ b/elderlock/fleet/conductor.py
@@ -105,6 +105,9 @@
                 await look()
             except (StoreError, LedgerError) as error:
                 log.error("a plan is held up", agent=self._owner.name, error=str(error))
+            except Exception:
+                # a fault in a plan must not end what carries out all others; it is told with its place
+                log.exception("a plan is held up", agent=self._owner.name)
             await asyncio.sleep(every * self._rng.uniform(0.8, 1.2))
 
     @staticmethod
--- a/elderlock/rollout/verdict.py
+++ b/elderlock/rollout/verdict.py
@@ -20,7 +20,8 @@
 SHARE_WORSE = 0.02  # of all answers, that may fail or be refused above the others' share
 PRIOR_SHARES, PRIOR_TIMES = 0.04, 0.035  # by which limiters of one version differ, on either scale, as a prior ...
 PRIOR_WEIGHT = 4.0  # ... that counts as so many limiters
-LEAST_ANSWERS = 60  # of a window, to be weighed at all
+# answers of a window, to be weighed at all: one that refuses everything is known by a few
+LEAST_ANSWERS, LEAST_SERVED = 10, 60
 # standard errors: to stop at any look; to say so once the time is over; to say so, and to say that it is no worse
 # than what has to be found, once no more time is given
 SURE, CLEAR, LIKELY = 4.0, 3.0, 2.0
@@ -93,7 +94,7 @@
 
 
 def _log_time(f: Figures) -> Point | None:
-    if f.served < LEAST_ANSWERS:
+    if f.served < LEAST_SERVED:
         return None
     mean = f.log_sum / f.served
     return Point(mean, max(f.log_squares / f.served - mean * mean, 0.01) / f.served)
