--- a/elderlock/rollout/leading.py
+++ b/elderlock/rollout/leading.py
@@ -96,7 +96,6 @@
         self._turn_of = 0  # which one is asked for first, so that one that cannot go does not hold up the others
         self._wave_done: tuple[int, str, float] = (-1, "", now)
         self._looked = 0.0
-        self.verdicts: dict[str, Verdict] = {}
 
     # What it is told
 
@@ -201,8 +200,6 @@
             verdict = Verdict("unclear", "no figures to compare with")
         else:
             verdict = judge(new, old, due, over)
-        for unit in trial:
-            self.verdicts[unit.target] = verdict
         names = tuple(unit.target for unit in trial)
         if verdict.word == "bad":
             return Move("halt", (), f"{', '.join(names)}: {verdict.text}")
