--- a/tests/test_spawning.py
+++ b/tests/test_spawning.py
@@ -43,7 +43,8 @@
 @pytest.mark.parametrize("safe", [True, False])
 def test_nothing_is_collected_in_the_copy_that_becomes_the_child(tmp_path: Path, safe: bool) -> None:
     async def test() -> None:
-        child = await (spawn if safe else asyncio.create_subprocess_exec)(sys.executable, "-S", "-c", "")
+        command = (sys.executable, "-S", "-c", "")
+        child = await (spawn(*command) if safe else asyncio.create_subprocess_exec(*command))
         assert await child.wait() == 0
         assert gc.isenabled()
 
