Release agents themselves: a base starts them and falls back from what does not come up

Need: agents were released by hand. An agent cannot see its own successor fail, and a majority of agents is needed to take anything back. Now 'elderlock base' starts each agent, holds durably what runs and what ran before, and starts the latter again when a version on trial ends or does not say within start-within that a majority hears it. The release is a plan as for limiters (kind 'agents'): one voter at a time, never so that those heard are no majority; the agents' limiters run on and are adopted.

--- a/elderlock/cli/main.py
+++ b/elderlock/cli/main.py
@@ -131,6 +131,9 @@
 
     add_plans(commands, grouped, _seconds, argparse.RawDescriptionHelpFormatter, EPILOG)
 
+    base = add("base", "starts the agent on the version that a release says", "elderlock base deploy/agent.toml")
+    base.add_argument("file", type=Path)
+    base.add_argument("--log-format", choices=("text", "json"), default="text", help="of all log lines (text)")
     agent = add("agent", "runs the agent of this machine", "elderlock agent deploy/agent.toml")
     agent.add_argument("file", type=Path)
     agent.add_argument("--check", action="store_true", help="only check the file")
@@ -216,6 +219,8 @@
     try:
         if options.command == "agent":
             return _agent(options)
+        if options.command == "base":
+            return _base(options)
         if options.command == "load":
             from elderlock.cli.load import main as load
 
@@ -290,6 +295,22 @@
     _routing(SimpleNamespace(file=read_agent(path), folder=path.resolve().parent, usable=set))
 
 
+def _base(options: argparse.Namespace) -> int:
+    import uvloop
+
+    from elderlock import logs
+    from elderlock.fleet.base import serve
+
+    logs.configure(options.log_format)
+    own = (sys.executable, "-m", "elderlock.cli.main", "agent", "--log-format", options.log_format)
+    try:
+        uvloop.run(serve(options.file, own))
+    except OSError as error:
+        print(f"elderlock: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
 def _agent(options: argparse.Namespace) -> int:
     import uvloop
 
--- a/elderlock/cli/plans.py
+++ b/elderlock/cli/plans.py
@@ -60,6 +60,9 @@
     def release(made: argparse.ArgumentParser) -> None:
         made.add_argument("version", help=f"its folder under [versions]; '{FILES}' for that in the agents' files")
         made.add_argument("--limiter", nargs="+", default=[], metavar="NAME", help="these alone (all that run)")
+        made.add_argument(
+            "--agents", nargs="*", metavar="NAME", help="releases agents (elderlock base), not limiters: these or all"
+        )
         made.add_argument(
             "--wave", action="append", default=[], metavar="NAMES", help="a wave of your own: n0,n1; again for the next"
         )
@@ -142,7 +145,8 @@
         version = "" if options.version == FILES else options.version
         waves = [wave.split(",") for wave in options.wave]
         origin = os.urandom(16).hex()
-        make = operate.begin(origin, "release", version, options.limiter, waves, terms, options.reason, dry)
+        kind, targets = ("release", options.limiter) if options.agents is None else ("agents", options.agents)
+        make = operate.begin(origin, kind, version, targets, waves, terms, options.reason, dry)
     answer = await operate.ask_any(group, make, f.Begun, options.deadline)
     if dry or answer.exit != Exit.DONE or options.no_wait or answer.plan is None:
         return _said(options, answer)
--- a/elderlock/fleet/agent.py
+++ b/elderlock/fleet/agent.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import signal
 from collections.abc import Callable, Iterable
@@ -19,6 +20,7 @@
 from elderlock.fleet import messages as f
 from elderlock.fleet.api import Api
 from elderlock.fleet.auth import Tokens, client_tls, read_token, server_tls
+from elderlock.fleet.based import Basis
 from elderlock.fleet.charge import Charge
 from elderlock.fleet.conductor import Conductor
 from elderlock.fleet.config import AgentFile, FileError, address, control_path, read_agent, read_group
@@ -27,6 +29,7 @@
 from elderlock.fleet.keeper import Keeper
 from elderlock.fleet.lending import Lending
 from elderlock.fleet.peers import Peer
+from elderlock.fleet.renewal import Renewal
 from elderlock.fleet.store import StoreError
 from elderlock.fleet.versions import Versions
 from elderlock.rollout.budget import Inventory
@@ -40,7 +43,9 @@
 
 
 class Agent:
-    def __init__(self, path: Path, file: AgentFile, rng: random.Random, host: Host | None = None) -> None:
+    def __init__(
+        self, path: Path, file: AgentFile, rng: random.Random, host: Host | None = None, basis: Basis | None = None
+    ) -> None:
         """Raises `FileError` or `StoreError`, with nothing begun."""
         self.folder, self.file, self.name = path.resolve().parent, file, file.agent.name
         home = self.home = self.folder / file.agent.state
@@ -72,6 +77,7 @@
             )
             for part in file.limiter
         }  # fmt: skip
+        self.renewal = Renewal(self.name, basis, self.versions, self.charges)
         self.peers: list[Peer] = []
         members: list[str] = []
         self.exchanges = Exchanges(self, (), {})
@@ -238,6 +244,9 @@
     def floors(self) -> list[tuple[str, str]]:
         return self.exchanges.floors()
 
+    def agent_floors(self) -> list[tuple[str, str]]:
+        return self.exchanges.agent_floors()
+
     def heard_briefs(self) -> list[tuple[str, float, f.LimiterBrief]]:
         return self.exchanges.heard_briefs()
 
@@ -278,7 +287,10 @@
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    agent = Agent(path, read_agent(path), random.Random(), host)
+    basis = Basis.of(os.environ)
+    agent = Agent(path, read_agent(path), random.Random(), host, basis)
+    if basis is not None:
+        basis.watch(stop.set)
     try:
         other = beside(agent)
         # a SIGHUP that nobody handles would end the agent
--- /dev/null
+++ b/elderlock/fleet/based.py
@@ -0,0 +1,89 @@
+"""The agent's side of its base (`elderlock.fleet.base`): words in lines of JSON, the agent's on its standard output,
+the base's end seen as the end of the agent's standard input."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from collections.abc import Callable, MutableMapping
+from typing import BinaryIO
+
+import msgspec
+
+from elderlock import logs
+from elderlock.rollout.basing import Held, To
+
+ENVIRON = "ELDERLOCK_BASE"
+
+log = logs.get(__name__)
+
+
+class Started(msgspec.Struct, frozen=True):
+    """What a base tells the agent that it starts."""
+
+    held: Held
+    starts: int
+
+
+class Go(msgspec.Struct, tag="to", frozen=True):
+    to: To
+
+
+class Ready(msgspec.Struct, tag="ready", frozen=True):
+    pass
+
+
+class Settled(msgspec.Struct, tag="settled", frozen=True):
+    generation: int
+
+
+Word = Go | Ready | Settled
+word_of = msgspec.json.Decoder(Word)
+
+
+class Basis:
+    def __init__(self, started: Started, out: BinaryIO) -> None:
+        self.held, self.starts = started.held, started.starts
+        self._out, self._ready = out, False
+
+    @classmethod
+    def of(cls, environ: MutableMapping[str, str]) -> Basis | None:
+        """None where no base started this process. What it starts itself must not take the base for its own, nor write
+        to the base: the variable is taken out, and the standard output is given to the log."""
+        text = environ.pop(ENVIRON, "")
+        if not text:
+            return None
+        out = os.fdopen(os.dup(sys.stdout.fileno()), "wb", buffering=0)
+        os.dup2(sys.stderr.fileno(), sys.stdout.fileno())
+        return cls(msgspec.json.decode(text, type=Started), out)
+
+    def watch(self, gone: Callable[[], None]) -> None:
+        """`gone` is called once the base has ended: whoever it was starts the next agent."""
+
+        def read() -> None:
+            if not os.read(0, 1 << 12):
+                asyncio.get_running_loop().remove_reader(0)
+                log.warning("the base has ended, and so does its agent; limiters run on")
+                gone()
+
+        asyncio.get_running_loop().add_reader(0, read)
+
+    def _say(self, word: Word) -> None:
+        try:
+            self._out.write(msgspec.json.encode(word) + b"\n")
+        except OSError as error:
+            log.error("the base does not hear", error=str(error))
+
+    def go(self, to: To) -> None:
+        self._say(Go(to))
+
+    def ready(self) -> None:
+        if not self._ready:
+            self._ready = True
+            self._say(Ready())
+
+    def settled(self) -> None:
+        if self.held.trial:
+            self._say(Settled(self.held.generation))
+            self.held = msgspec.structs.replace(self.held, trial=False)
--- a/elderlock/fleet/conductor.py
+++ b/elderlock/fleet/conductor.py
@@ -14,14 +14,16 @@
 import time
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from functools import partial
-from typing import Protocol
+from typing import Literal, Protocol
 
 from elderlock import logs
 from elderlock.control.records import Key, Kind, Record, Records
 from elderlock.fleet import messages as f
 from elderlock.fleet.charge import Charge
+from elderlock.fleet.config import FileError
 from elderlock.fleet.keeper import Keeper, Made, answers_of
 from elderlock.fleet.peers import Peer
+from elderlock.fleet.renewal import Renewal
 from elderlock.fleet.store import StoreError
 from elderlock.fleet.versions import Versions
 from elderlock.rollout import plans, steps
@@ -39,6 +41,8 @@
 MOST_HALTS = 20  # that are held of plans that nobody knows here
 MOST_AT_ONCE = 50  # steps of one look
 BOXES_EVERY = 0.5  # s between looks at how far the boxes of a drain are
+SILENT_AGENT = 4000.0  # ms without a word, after which an agent is not counted on to vote
+GO_AGAIN = 2.0  # s after which the base is asked again for a version that it did not go to
 ASK_WITHIN = 1.0  # s that another agent has to answer
 
 log = logs.get(__name__)
@@ -52,11 +56,14 @@
     charges: dict[str, Charge]
     peers: list[Peer]
     versions: Versions
+    renewal: Renewal
 
     def inventory(self) -> Inventory: ...
     def floors(self) -> list[tuple[str, str]]:
         """All limiters that are known of, with their floors."""
 
+    def agent_floors(self) -> list[tuple[str, str]]: ...
+
     def heard_briefs(self) -> list[tuple[str, float, f.LimiterBrief]]:
         """Of other agents: whose, how many ms ago, what."""
 
@@ -175,18 +182,29 @@
         inventory = self._owner.inventory()
         if inventory.blind:
             return [inventory.blind]
-        known = {item.name for item in inventory.of("box" if asked.kind == "drain" else "limiter")}
+        if asked.kind == "agents":
+            known = {self._owner.name, *(peer.name for peer in self._owner.peers)}
+        else:
+            known = {item.name for item in inventory.of("box" if asked.kind == "drain" else "limiter")}
         targets = set(asked.targets) | {name for wave in asked.waves for name in wave}
         unknown = sorted(targets - known)
         if unknown:
             return [f"{', '.join(unknown)} is not known"]
         if asked.kind == "drain":
             return [] if targets else ["no box is named"]
+        found: list[str] = []
+        if asked.kind == "agents":
+            briefs = self._owner.renewal.briefs()
+            for name in sorted(targets or known):
+                age, brief = briefs.get(name, (-1.0, f.AgentBrief()))
+                if not 0.0 <= age < 8000.0:
+                    found.append(f"agent {name} was not heard of lately")
+                elif not brief.based:
+                    found.append(f"agent {name} was not started by a base (elderlock base FILE)")
         if not asked.version:
-            return []
+            return found
         answers = await answers_of([peer.ask(f.Plans, ASK_WITHIN) for peer in self._owner.peers])
         has = {self._owner.name: dict(self._owner.versions.digests())}
-        found: list[str] = []
         for peer, answer in zip(self._owner.peers, answers, strict=True):
             if isinstance(answer, f.Planned):
                 has[peer.name] = dict(answer.versions)
@@ -202,17 +220,22 @@
         if asked.kind == "drain":
             waves = asked.waves or tuple((target,) for target in asked.targets)
             return plans.drain(asked.origin, waves, by, asked.reason, now, asked.terms)
-        before = dict(self._keeper.ledger.versions)
+        if asked.kind == "agents":
+            before = {name: brief.version for name, (_, brief) in self._owner.renewal.briefs().items()}
+        else:
+            before = dict(self._keeper.ledger.versions)
         if asked.waves:
             waves = asked.waves
         else:
             stopped = self._stopped()
+            everyone = self._owner.agent_floors() if asked.kind == "agents" else self._owner.floors()
             floors = [
-                each for each in self._owner.floors()
+                each for each in everyone
                 if (each[0] in asked.targets if asked.targets else each[0] not in stopped)
             ]  # fmt: skip
             waves = tuple(tuple(wave) for wave in plans.waves_over_floors(floors))
-        return plans.release(asked.origin, asked.version, waves, before, by, asked.reason, now, asked.terms)
+        kind: Literal["release", "agents"] = "agents" if asked.kind == "agents" else "release"
+        return plans.release(asked.origin, asked.version, waves, before, by, asked.reason, now, asked.terms, kind)
 
     def _stopped(self) -> set[str]:
         own = {name for name, charge in self._owner.charges.items() if not charge.supervisor.wanted}
@@ -220,6 +243,8 @@
 
     def _against(self, plan: Plan) -> list[str]:
         """What the budget would say to each wave, were all before it done and nothing else out."""
+        if plan.kind == "agents":
+            return []
         inventory, held = self._owner.inventory(), self._keeper.ledger.held()
         kind, found = steps.kind_of(plan), []
         for wave in range(plan.waves()):
@@ -229,6 +254,9 @@
         return found
 
     def _leaves(self, plan: Plan) -> list[str]:
+        if plan.kind == "agents":
+            waves = [[unit.target for unit in plan.units if unit.wave == wave] for wave in range(plan.waves())]
+            return [f"wave {n + 1}: {', '.join(names)} (one that votes at a time)" for n, names in enumerate(waves)]
         inventory, held = self._owner.inventory(), dict(self._keeper.ledger.held())
         kind, lines = steps.kind_of(plan), []
         for wave in range(plan.waves()):
@@ -302,6 +330,7 @@
         return f.Planned(
             asked.id, name, ledger.version, ledger.plans, tuple(plan.id for plan in mine), tuple(waits), runs,
             self._owner.versions.digests(), ledger.given_up, self.told_halts(), ledger.permits,
+            self._owner.renewal.brief(),
         )  # fmt: skip
 
     # What concerns our own limiters
@@ -318,10 +347,17 @@
 
     async def _carry(self) -> None:
         self.catch_up()
+        if not self._owner.renewal.heard_by_majority and await self._keeper.read() is not None:
+            self._owner.renewal.up()
         ledger = self._keeper.ledger
         if self._given_up:
             return
         for plan in ledger.plans:
+            if plan.kind == "agents" and (unit := plan.unit(self._owner.name)) is not None:
+                # of plans of this kind that are over the last one alone still says something
+                if plan.state != "over" or plan is [each for each in ledger.plans if each.kind == "agents"][-1]:
+                    self._see_itself(plan, unit)
+                continue
             for unit in plan.units if plan.kind == "release" else ():
                 done = plan.state == "over" and unit.stage == "done"
                 if unit.target in self._carriers and unit.target not in self._acting and (plan.state != "over" or done):
@@ -347,6 +383,32 @@
             self._acting.add(unit.target)
             self._task(self._act(act, plan, unit))
 
+    def _see_itself(self, plan: Plan, unit: Unit) -> None:
+        """Our own turn in a release of agents. What this process runs as is the base's word, not its own."""
+        if self._owner.name in self._acting:
+            return
+        act, news = self._owner.renewal.see(plan, unit, self.halted(plan))
+        if news:
+            self._owner.spread()
+        if act == "settle":
+            self._owner.renewal.settle()
+        elif act == "switch":
+            self._acting.add(self._owner.name)
+            self._task(self._go(plan, unit))
+
+    async def _go(self, plan: Plan, unit: Unit) -> None:
+        try:
+            if await self._confirmed(plan, unit):
+                what = f"this agent goes to version {plan.toward(unit) or 'of its base'}"
+                self._owner.note(self._owner.name, "agent", what, plan.id[:8])
+                self._owner.renewal.go(plan, unit)
+                await asyncio.sleep(GO_AGAIN)
+        except (StoreError, LedgerError, FileError) as error:
+            log.error("a step is held up", agent=self._owner.name, step="switch", error=str(error))
+            await asyncio.sleep(GO_AGAIN)
+        finally:
+            self._acting.discard(self._owner.name)
+
     async def _act(self, act: str, plan: Plan, unit: Unit) -> None:
         charge, carrier = self._owner.charges[unit.target], self._carriers[unit.target]
         try:
@@ -459,6 +521,9 @@
         id, me, term, generation = plan.id, self._owner.name, plan.term, self._owner.records.generation()
         match move.do:
             case "send":
+                if plan.kind == "agents":
+                    voters, silent = self._keeper.voters, self._silent_agents()
+                    return lambda held: steps.send_agents(held, id, me, term, move.targets, voters, silent, generation)
                 inventory, budget, at = self._owner.inventory(), self._keeper.budget, time.time() * 1000.0
                 return lambda held: steps.send(held, id, me, term, move.targets, budget, inventory, generation, at)
             case "serve":
@@ -475,6 +540,8 @@
     async def _told(self, plan: Plan) -> Mapping[str, Told]:
         if plan.kind == "drain":
             return await self._told_of_boxes(plan)
+        if plan.kind == "agents":
+            return self._owner.renewal.told()
         told: dict[str, Told] = {}
         for name, charge in self._owner.charges.items():
             age = self._now() - 1000.0 * charge.link.state_at if charge.link.state is not None else 0.0
@@ -484,6 +551,11 @@
             told[brief.name] = self._of(plan, brief, age)
         return told
 
+    def _silent_agents(self) -> list[str]:
+        briefs = self._owner.renewal.briefs()
+        names = [peer.name for peer in self._owner.peers]
+        return [name for name in names if not 0.0 <= briefs.get(name, (-1.0, None))[0] < SILENT_AGENT]
+
     def _of(self, plan: Plan, brief: f.LimiterBrief, age: float) -> Told:
         record = self._owner.records.get("limiter", brief.name)
         others = record is not None and record.drained and not record.origin.startswith(f"{plan.id}/")
--- a/elderlock/fleet/exchange.py
+++ b/elderlock/fleet/exchange.py
@@ -74,6 +74,10 @@
         """All limiters that are known of, with their floors, in the order of their numbers."""
         return [(item.name, item.floor) for item in self.inventory().limiters]
 
+    def agent_floors(self) -> list[tuple[str, str]]:
+        """All agents of the group's file, with their floors."""
+        return list(self._floors.items())
+
     def heard_briefs(self) -> list[tuple[str, float, f.LimiterBrief]]:
         """Of other agents: whose, how many ms ago, what."""
         return [(h.agent, h.age_ms, brief) for h in self.membership.view(now_ms()) for brief in h.limiters]
@@ -96,6 +100,7 @@
             keeper.told() if keeper is not None and newer else b"", version,
             tuple(h.agent for h in view if h.age_ms < 0 or h.age_ms > LACKED_AFTER or h.via),
             conductor.told_halts() if conductor is not None else (),
+            agent.renewal.brief(),
         )  # fmt: skip
 
     def heard(self, exchange: f.Exchange) -> None:
@@ -104,6 +109,7 @@
             exchange.agent, exchange.incarnation, exchange.sequence, exchange.limiters, now
         )
         self.membership.relayed(exchange.heard, exchange.agent, now)
+        self._agent.renewal.heard(exchange.agent, exchange.itself)
         if self._agent.keeper is not None and exchange.ledger:
             self._agent.keeper.heard(exchange.ledger)
         if self._agent.conductor is not None and exchange.halts:
--- a/elderlock/fleet/messages.py
+++ b/elderlock/fleet/messages.py
@@ -15,7 +15,7 @@
 from elderlock.control.records import Kind, Record
 from elderlock.rollout.carrying import Said
 from elderlock.rollout.ledger import Permit
-from elderlock.rollout.plans import Plan, Terms
+from elderlock.rollout.plans import Plan, PlanKind, Terms
 from elderlock.rollout.verdict import Figures
 
 VERSION = 1
@@ -85,6 +85,17 @@
     said: Said = Said()  # of a release
 
 
+class AgentBrief(msgspec.Struct, frozen=True):
+    """An agent of itself. `based`: a base started it, so it can be released. `starts`: of its process on this
+    version."""
+
+    version: str = ""
+    based: bool = False
+    starts: int = 0
+    serving: bool = False
+    said: Said = Said()
+
+
 class Heard(msgspec.Struct):
     """What the answering agent last heard of another: not what that one says of itself."""
 
@@ -204,6 +215,7 @@
     ledger_version: int = -1
     lacks: tuple[str, ...] | None = None  # of whom it has heard nothing lately; None for one that does not say
     halts: tuple[tuple[str, int, str], ...] = ()  # plan, turn and why: in force at once, also where no majority answers
+    itself: AgentBrief = AgentBrief()
 
 
 class AuditLine(msgspec.Struct):
@@ -336,7 +348,7 @@
 
     id: int
     origin: str
-    kind: Literal["release", "drain"]
+    kind: PlanKind
     version: str
     targets: tuple[str, ...]  # empty: all limiters
     waves: tuple[tuple[str, ...], ...]
@@ -404,6 +416,7 @@
     given_up: tuple[tuple[str, str], ...]
     halts: tuple[tuple[str, int, str], ...] = ()
     permits: tuple[Permit, ...] = ()
+    itself: AgentBrief = AgentBrief()
 
 
 ToAgent = (
--- a/elderlock/fleet/operate_plans.py
+++ b/elderlock/fleet/operate_plans.py
@@ -43,14 +43,18 @@
 
     def lines(self, plan: Plan) -> list[str]:
         """How it stands, for people: what is known, what is not, whose permits are out, what it waits for."""
-        what = f"release {plan.version or 'of the files'}" if plan.kind == "release" else "drain"
-        said = f"{what} ({plan.id[:8]}) of {plan.by}: {plan.outcome()}"
+        said = f"{plan.title()} ({plan.id[:8]}) of {plan.by}: {plan.outcome()}"
         if plan.state != "over":
             said += f", {'the way back, ' if plan.aim == 'back' else ''}wave {plan.wave() + 1} of {plan.waves()}"
         lines = [said + (f"; {plan.reason}" if plan.reason else "")]
         if plan.why:
             lines.append(f"  {'halted' if plan.state == 'halted' else 'last turn'}: {plan.why}")
         runs = {run.limiter: run for answer in self.answers.values() for run in answer.runs}
+        if plan.kind == "agents":
+            runs = {
+                name: f.Runs(name, answer.itself.version, answer.itself.version, answer.itself.said)
+                for name, answer in self.answers.items()
+            }
         for unit in sorted(plan.units, key=lambda unit: (unit.wave, unit.target)):
             lines.append(f"  wave {unit.wave + 1}  {unit.target}: {_unit(plan, unit, runs.get(unit.target))}")
         newest = self.newest
--- /dev/null
+++ b/elderlock/fleet/renewal.py
@@ -0,0 +1,88 @@
+"""An agent's part in a release of agents: what it says of itself, what it hears of others, and its own turn."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Mapping
+
+from elderlock.fleet import messages as f
+from elderlock.fleet.based import Basis
+from elderlock.fleet.charge import Charge
+from elderlock.fleet.config import FileError
+from elderlock.fleet.versions import Versions
+from elderlock.rollout.basing import To, Which
+from elderlock.rollout.carrying import AgentAct, AgentLook, Said, carry_agent
+from elderlock.rollout.leading import Told
+from elderlock.rollout.plans import Plan, Unit
+
+
+class Renewal:
+    def __init__(self, name: str, basis: Basis | None, versions: Versions, charges: Mapping[str, Charge]) -> None:
+        self.name, self.basis = name, basis
+        self._versions, self._charges = versions, charges
+        self._said = Said()
+        self.heard_by_majority = False
+        self._others: dict[str, tuple[float, f.AgentBrief]] = {}  # when each was heard last, and what it said
+
+    @property
+    def version(self) -> str:
+        return self.basis.held.which.version if self.basis is not None else ""
+
+    def up(self) -> None:
+        """A majority answered: the group hears this version. The base needs no more to know that it started."""
+        self.heard_by_majority = True
+        if self.basis is not None:
+            self.basis.ready()
+
+    def brief(self) -> f.AgentBrief:
+        basis = self.basis
+        return f.AgentBrief(
+            self.version, basis is not None, basis.starts if basis is not None else 0, self._serving(), self._said
+        )
+
+    def _serving(self) -> bool:
+        return self.heard_by_majority and all(
+            not charge.supervisor.wanted or charge.why_out() == "" for charge in self._charges.values()
+        )
+
+    def heard(self, name: str, brief: f.AgentBrief) -> None:
+        self._others[name] = time.monotonic() * 1000.0, brief
+
+    def briefs(self) -> dict[str, tuple[float, f.AgentBrief]]:
+        """Of all agents that ever spoke: ms since they did."""
+        now = time.monotonic() * 1000.0
+        found = {name: (now - at, brief) for name, (at, brief) in self._others.items()}
+        found[self.name] = 0.0, self.brief()
+        return found
+
+    def told(self) -> dict[str, Told]:
+        return {
+            name: Told(name, *brief.said, serving=brief.serving, restarts=brief.starts, age=age)
+            for name, (age, brief) in self.briefs().items()
+        }
+
+    def see(self, plan: Plan, unit: Unit, halted: bool) -> tuple[AgentAct | None, bool]:
+        """What is to be done, and whether what it says of itself has changed."""
+        held = self.basis.held if self.basis is not None else None
+        if held is None:
+            look = AgentLook("", 0, False, 0, "no base started it", self.heard_by_majority, self._serving())
+        else:
+            look = AgentLook(
+                held.which.version, held.generation, held.trial, held.failed, held.why, self.heard_by_majority,
+                self._serving(),
+            )  # fmt: skip
+        before = self._said
+        self._said, act = carry_agent(plan, unit, look, halted)
+        return act, self._said != before
+
+    def go(self, plan: Plan, unit: Unit) -> None:
+        """Asks the base for the other version; this process is ended by it. Raises `FileError`."""
+        if self.basis is None:
+            raise FileError("no base started this agent")
+        version = plan.toward(unit)
+        which = Which(version, self._versions.agent(version, self.name))
+        self.basis.go(To(unit.generation, which, 1000.0 * plan.terms.start_within))
+
+    def settle(self) -> None:
+        if self.basis is not None:
+            self.basis.settled()
--- a/elderlock/fleet/versions.py
+++ b/elderlock/fleet/versions.py
@@ -1,7 +1,7 @@
 """Versions of limiters that lie side by side on an agent's disk: `FOLDER/NAME/version.toml`.
 
 A version says what differs from the limiter's part in the agent's file: its command, its directory, its configuration.
-`{limiter}` in it stands for the limiter's name and `{version}` for the version's own folder.
+`{limiter}` in it stands for the limiter's name, `{agent}` for the agent's and `{version}` for the version's own folder.
 """
 
 from __future__ import annotations
@@ -21,6 +21,7 @@
     command: tuple[str, ...] = ()
     directory: str = ""
     config: str = ""
+    agent: tuple[str, ...] = ()  # how a base starts the agent, less the agent's file; empty: as it does by itself
 
 
 class Launch(msgspec.Struct, frozen=True):
@@ -47,6 +48,16 @@
             filled(file.directory) or part.directory, filled(file.config) or part.config,
         )  # fmt: skip
 
+    def agent(self, version: str, name: str) -> tuple[str, ...]:
+        """The command that starts the agent of that name on that version; empty for the base's own. Raises
+        `FileError`."""
+        if not version:
+            return ()
+        file, here = self._read(version)
+        if not file.agent:
+            raise FileError(f"{here / 'version.toml'}: it says no agent")
+        return tuple(word.replace("{agent}", name).replace("{version}", str(here)) for word in file.agent)
+
     def _read(self, version: str) -> tuple[VersionFile, Path]:
         if self._folder is None:
             raise FileError("this agent's file has no [versions]")
@@ -54,8 +65,8 @@
             raise FileError(f"{version!r} is no name for a version: letters, digits, '.', '_', '-'")
         here = self._folder / version
         file = read_toml(here / "version.toml", VersionFile, FileError)
-        if not (file.command or file.directory or file.config):
-            raise FileError(f"{here / 'version.toml'}: it says neither command, directory nor config")
+        if not (file.command or file.directory or file.config or file.agent):
+            raise FileError(f"{here / 'version.toml'}: it says neither command, directory, config nor agent")
         return file, here
 
     def digests(self) -> tuple[tuple[str, str], ...]:
--- a/elderlock/rollout/carrying.py
+++ b/elderlock/rollout/carrying.py
@@ -12,6 +12,7 @@
 from elderlock.rollout.plans import Plan, Unit
 
 Act = Literal["drain", "switch", "undrain"]
+AgentAct = Literal["switch", "settle"]
 
 
 class Look(NamedTuple):
@@ -102,3 +103,37 @@
         else:
             self.said = Said(unit.generation, "starting", look.error)
         return None
+
+
+class AgentLook(NamedTuple):
+    """An agent as it finds itself. `generation` of the word that its base runs it by, `failed` of the one that the base
+    fell back from, with why. `heard`: a majority answered it since its start. `serving`: it is, and so are all of its
+    limiters that are to run."""
+
+    version: str
+    generation: int
+    trial: bool
+    failed: int
+    why: str
+    heard: bool
+    serving: bool
+
+
+def carry_agent(plan: Plan, unit: Unit, look: AgentLook, halted: bool) -> tuple[Said, AgentAct | None]:
+    """What an agent does for the plan that takes it, and what it says of itself. `switch` only once it is confirmed."""
+    generation, toward = unit.generation, plan.toward(unit)
+    if unit.stage == "out":
+        if look.failed == generation:
+            return Said(generation, "failed", f"its base fell back from version {toward}: {look.why}"), None
+        if look.generation == generation or (look.version == toward and not look.trial):
+            return Said(generation, "up" if look.heard else "starting"), None
+        if halted:
+            return Said(generation, "halted"), None
+        return Said(generation, "switching"), "switch"
+    if unit.stage in ("trial", "done") and generation:
+        if look.version != toward:
+            why = look.why or f"it runs {look.version or 'the version of the files'}"
+            return Said(generation, "failed", f"its base fell back from version {toward}: {why}"), None
+        said = Said(generation, "serving" if look.serving else "starting")
+        return said, "settle" if unit.stage == "done" and look.trial else None
+    return Said(), None
--- a/elderlock/rollout/leading.py
+++ b/elderlock/rollout/leading.py
@@ -117,7 +117,7 @@
             return Move("close")
         for unit in plan.units:
             self._since.setdefault((unit.target, unit.aim, unit.stage, unit.generation), now)
-        if plan.kind == "release" and (why := self._trouble(plan, told, now)):
+        if plan.kind != "drain" and (why := self._trouble(plan, told, now)):
             return Move("halt", (), why)
         drain = plan.kind == "drain"
         move = self._drain(mine, told, plan.aim == "back") if drain else self._release(plan, mine, told, now)
@@ -189,6 +189,12 @@
         start = max(since.values())
         settled = start + 1000.0 * terms.settle
         due = now >= settled + 1000.0 * terms.bake
+        if plan.kind == "agents":
+            # an agent answers no requests: what it shows in its trial is that it lives, is heard and has its limiters
+            self.waits = (f"{', '.join(since)} on trial",)
+            enough = 1000.0 * (terms.settle + terms.bake)
+            passed = tuple(name for name, at in since.items() if now - at >= enough)
+            return Move("pass", passed) if passed else None
         over = now >= settled + 1000.0 * max(terms.bake, terms.bake_most)
         waiting = [unit.target for unit in plan.units if unit.stage == "waiting"]
         others = [name for name in told if plan.unit(name) is None and told[name].serving]
@@ -257,7 +263,7 @@
             return None
         if self._short is None:
             self._short = now
-        if now - self._short > 1000.0 * plan.terms.patience and plan.kind == "release" and plan.aim == "to":
+        if now - self._short > 1000.0 * plan.terms.patience and plan.kind != "drain" and plan.aim == "to":
             self._short = None
             return Move("halt", (), f"the budget is short: {'; '.join(self.waits)}"[:400])
         return None
--- a/elderlock/rollout/plans.py
+++ b/elderlock/rollout/plans.py
@@ -14,7 +14,7 @@
 Aim = Literal["to", "back"]
 Stage = Literal["waiting", "out", "trial", "done"]
 State = Literal["running", "halted", "over"]
-PlanKind = Literal["release", "drain"]
+PlanKind = Literal["release", "drain", "agents"]  # of limiters, of boxes, a release of agents
 MOST_UNITS = 5000
 MOST_OVER = 5  # plans that are over and are still kept, for people
 
@@ -39,8 +39,9 @@
 
 
 class Unit(msgspec.Struct, frozen=True, array_like=True):
-    """A limiter or a box that the plan takes. `aim`: to the plan's end or back to `before`, the version that ran as the
-    plan began. `stage` within that aim: waiting, out (under a permit), on trial (serving, being judged), done.
+    """A limiter, a box or an agent that the plan takes. `aim`: to the plan's end or back to `before`, the version that
+    ran as the plan began. `stage` within that aim: waiting, out (limiters and boxes under a permit), on trial (serving,
+    being judged), done.
     `generation`: of the record that the stage allows: draining while it is out, undraining from the trial on."""
 
     target: str
@@ -93,6 +94,11 @@
         """Under which the unit's permit is asked for: each aim has its own, so that one asked again finds its own."""
         return f"{self.id}/{unit.aim}/{unit.target}"
 
+    def title(self) -> str:
+        if self.kind == "drain":
+            return "drain"
+        return f"release{' of agents' if self.kind == 'agents' else ''} {self.version or 'of the files'}"
+
     def outcome(self) -> str:
         if self.state != "over":
             return self.state
@@ -127,12 +133,12 @@
 
 def release(
     id: str, version: str, waves: Iterable[Iterable[str]], before: dict[str, str], by: str, reason: str, at: float,
-    terms: Terms,
+    terms: Terms, kind: Literal["release", "agents"] = "release",
 ) -> Plan:  # fmt: skip
     units = tuple(
         Unit(name, number, before.get(name, "")) for number, wave in enumerate(waves) for name in wave
     )
-    return Plan(id, "release", version, by, reason, at, units, terms)
+    return Plan(id, kind, version, by, reason, at, units, terms)
 
 
 def drain(id: str, steps: Iterable[Iterable[str]], by: str, reason: str, at: float, terms: Terms) -> Plan:
--- a/elderlock/rollout/steps.py
+++ b/elderlock/rollout/steps.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from elderlock.control.records import Key, Kind
+from elderlock.rollout.basing import may_go
 from elderlock.rollout.budget import Budget, Inventory
 from elderlock.rollout.ledger import Ledger, above, grant
 from elderlock.rollout.plans import MOST_OVER, MOST_UNITS, Plan, Unit, with_unit
@@ -39,12 +40,13 @@
         return [f"it takes {len(plan.units)}, {MOST_UNITS} are the most"]
     mine = {unit.target for unit in plan.units}
     for other in ledger.plans:
-        if other.state == "over" or other.kind != plan.kind:
+        # limiters and agents are not released together: one whose agent is away is silent to the release of limiters
+        if other.state == "over" or "drain" in (other.kind, plan.kind) and other.kind != plan.kind:
             continue
         both = sorted(mine & {unit.target for unit in other.units})
-        if plan.kind == "release" or both:
-            what = f"release {other.version or 'of the files'}" if other.kind == "release" else "drain"
-            return [f"{what} {other.id[:8]} of {other.by} is {other.state}: go on with it, or take it back first"]
+        if plan.kind != "drain" or both:
+            what = f"{other.title()} {other.id[:8]} of {other.by}"
+            return [f"{what} is {other.state}: go on with it, or take it back first"]
     over = [each for each in ledger.plans if each.state == "over"]
     forgotten = {each.id for each in over[: max(0, len(over) + 1 - MOST_OVER)]}
     kept = tuple(each for each in ledger.plans if each.id not in forgotten)
@@ -121,6 +123,34 @@
     return _with(new, plan)
 
 
+def send_agents(
+    ledger: Ledger, id: str, who: str, term: int, targets: Sequence[str], voters: Sequence[str],
+    silent: Sequence[str], generation: int,
+) -> Step:  # fmt: skip
+    """Takes out those of the agents that may go now. No permit is needed beside the plan: one plan of this kind is
+    under way at a time, so its units are all that is out of agents by our doing. `silent`: of whom the asker hears
+    nothing."""
+    plan = _led(ledger, id, who, term)
+    if isinstance(plan, list):
+        return plan
+    if plan.state != "running":
+        return [f"the plan is {plan.state}"]
+    new, why = ledger, ""
+    for target in targets:
+        unit = plan.unit(target)
+        if unit is None or unit.stage != "waiting":
+            continue
+        out = [each.target for each in plan.units if each.stage in ("out", "trial")]
+        why = may_go(voters, out, silent, target) or why
+        if may_go(voters, out, silent, target):
+            continue
+        new = above(new, generation)
+        plan = with_unit(plan, msgspec.structs.replace(unit, stage="out", generation=new.generation))
+    if new is ledger:
+        return [why or DONE_ALREADY]
+    return _with(new, plan)
+
+
 def _nothing_out(inventory: Inventory) -> Inventory:
     """As if all that no permit is out for served."""
     return Inventory(
@@ -130,8 +160,7 @@
 
 
 def _reason(plan: Plan) -> str:
-    what = f"release {plan.version or 'of the files'}" if plan.kind == "release" else "drain"
-    return f"{what} {plan.id[:8]}" + (f": {plan.reason}" if plan.reason else "")
+    return f"{plan.title()} {plan.id[:8]}" + (f": {plan.reason}" if plan.reason else "")
 
 
 def serve_again(ledger: Ledger, id: str, who: str, term: int, target: str, generation: int) -> Step:
@@ -230,9 +259,10 @@
     gone = set(targets)
     permits = tuple(permit for permit in ledger.permits if permit.key not in gone)
     plans = tuple(
-        plan if plan.state == "over" or plan.kind != "release" else msgspec.structs.replace(
+        plan if plan.state == "over" or plan.kind == "drain" else msgspec.structs.replace(
             plan, units=tuple(
-                msgspec.structs.replace(unit, stage="done") if ("limiter", unit.target) in gone else unit
+                msgspec.structs.replace(unit, stage="done")
+                if (unit.target == agent if plan.kind == "agents" else ("limiter", unit.target) in gone) else unit
                 for unit in plan.units
             )
         )
--- a/elderlock/trial/child.py
+++ b/elderlock/trial/child.py
@@ -1,5 +1,5 @@
-"""Starts a limiter or an agent as it ships, under a seam: `python -m elderlock.trial.child limiter SEAM`, or `agent
-SEAM FILE`.
+"""Starts a limiter or an agent as it ships, under a seam: `python -m elderlock.trial.child limiter SEAM`, `agent SEAM
+FILE`, or `base SEAM FILE`.
 
 The code that runs is the program's own (`elderlock.__main__.main`, the agent's `serve`); the wall clock, the disk and,
 where a test asks for it, one known fault of the build are put under it before it is loaded.
@@ -66,11 +66,30 @@
     return 0
 
 
+def base(path: Path, seam: Path) -> int:
+    import uvloop
+
+    from elderlock import logs
+    from elderlock.fleet.base import serve
+    from elderlock.fleet.config import FileError
+
+    logs.configure("json")
+    own = (sys.executable, "-B", "-m", "elderlock.trial.child", "agent", str(seam))
+    try:
+        uvloop.run(serve(path, own))
+    except (OSError, FileError) as error:
+        print(f"elderlock: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
 def main() -> int:
     # an agent's limiters inherit its environment; each finds its own seam beside the agent's, by its own name
     role = sys.argv[1]
     seam = Path(sys.argv[2])
     os.environ[SEAM] = str(seam)
+    if role == "base":  # the seam is its agent's
+        return base(Path(sys.argv[3]), seam)
     block = Block(seam)
     block.begins(os.getpid())
     move_clock(block)
--- a/elderlock/trial/flaws.py
+++ b/elderlock/trial/flaws.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 from collections.abc import Callable
 from dataclasses import replace
@@ -247,9 +248,38 @@
     patch.setattr(Desk, "_hello", lambda self, visitor, hello, now: m.Refused("version", "it speaks version 99 alone"))
 
 
+# Versions of agents that a release has to stop
+
+
+def agent_crashes_at_start(patch: Patching) -> None:
+    from elderlock.fleet.agent import Agent
+
+    patch.setattr(Agent, "start", lambda self: os._exit(4))
+
+
+def agent_crashes_later(patch: Patching) -> None:
+    """Once it has told its base that its group hears it."""
+    from elderlock.fleet.renewal import Renewal
+
+    kept = Renewal.up
+
+    def up(self: Renewal) -> None:
+        kept(self)
+        asyncio.get_running_loop().call_later(float(os.environ.get("ELDERLOCK_TRIAL_AFTER", "1")), os._exit, 3)
+
+    patch.setattr(Renewal, "up", up)
+
+
+def agent_is_of_another_protocol(patch: Patching) -> None:
+    from elderlock.fleet import messages as f
+
+    patch.setattr(f, "VERSION", 99)
+
+
 FLAWS: dict[str, Flaw] = {flaw.__name__: flaw for flaw in (
     loses, tries_all_again, keeps_sending, knows_no_cold, knows_no_ceiling, lies_of_drains, raises, never_lets_go,
     forgets_no_timer, hears_no_other, learns_nothing, leaks_descriptors, keeps_what_is_over,
     keeps_nothing, grants_alone, knows_no_budget,
     crashes_at_start, crashes_later, refuses_all, slower_by_a_fifth, refuses_its_agent,
+    agent_crashes_at_start, agent_crashes_later, agent_is_of_another_protocol,
 )}  # fmt: skip
--- a/elderlock/trial/ground.py
+++ b/elderlock/trial/ground.py
@@ -100,14 +100,15 @@
 
 
 class Ground(World):
-    """`mark` is on all that it starts, see `guard`. `flaw` names one of `flaws.FLAWS` that its processes have."""
+    """`mark` is on all that it starts, see `guard`. `flaw` names one of `flaws.FLAWS` that its processes have.
+    `based`: a base starts each agent."""
 
     def __init__(
         self, scenario: Scenario, folder: Path, mark: str, seed: int = 1, flaw: str = "",
-        rules: j.Rules | None = None,
+        rules: j.Rules | None = None, based: bool = False,
     ) -> None:  # fmt: skip
         self.scenario, self.seed, self.mark = scenario, seed, mark
-        self.flaw = flaw
+        self.flaw, self.based = flaw, based
         s, kind = scenario, scenario.kind[0]
         self.rules = rules or j.Rules(
             grace=GRACE, drain=DRAIN, instant=INSTANT, cold_share=kind.cold_share, cold_ms=kind.cold_ms
@@ -276,6 +277,14 @@
         path.parent.mkdir(parents=True)
         path.write_text(f"command = {json.dumps(command)}\n")
 
+    def lay_agent_version(self, name: str, flaw: str = "", **environ: str) -> None:
+        """A version of agents on every agent's disk: the program as it is, with that flaw."""
+        words = [f"{key}={value}" for key, value in ({children.FLAW: flaw} | environ if flaw else environ).items()]
+        command = ["env", *words, *python("-m", "elderlock.trial.child", "agent", str(self.seam_path("{agent}")))]
+        path = self.folder / "versions" / name / "version.toml"
+        path.parent.mkdir(parents=True)
+        path.write_text(f"agent = {json.dumps(command)}\n")
+
     def floor_of(self, agent: int) -> str:
         return self._machine(agent)[1]
 
@@ -289,7 +298,7 @@
             )  # fmt: skip
         block = Block(self.seam_path(name), make=True)
         seam, file = str(self.seam_path(name)), str(self.agent_path(agent))
-        command = python("-m", "elderlock.trial.child", "agent", seam, file)
+        command = python("-m", "elderlock.trial.child", "base" if self.based else "agent", seam, file)
         environ = {children.FLAW: self.flaw} if self.flaw else {}
         made = Child(name, command, self.mark, self.folder / f"{name}.log", environ)
         process = AgentProcess(agent, block, made)
--- a/elderlock/trial/standing.py
+++ b/elderlock/trial/standing.py
@@ -16,12 +16,14 @@
 
 
 @asynccontextmanager
-async def standing(load: float = 0.2, accounts: int = 50, flaw: str = "", **changes: Any) -> AsyncIterator[Ground]:
+async def standing(
+    load: float = 0.2, accounts: int = 50, flaw: str = "", based: bool = False, **changes: Any
+) -> AsyncIterator[Ground]:
     """Three limiters, two agents and six boxes unless `changes` of the scenario say else; clients ask once `ask` is
     called. Raises `TrialError`."""
     given = Scenario("standing", **{"agents": 2, "boxes": 6, "lasts_s": 3600.0, "warm_s": 0.0, **changes})
     with guarded(PREFIX, 0.0, short_temp()) as (folder, mark):
-        ground = Ground(of_load(load, given, accounts), folder, mark, flaw=flaw)
+        ground = Ground(of_load(load, given, accounts), folder, mark, flaw=flaw, based=based)
         try:
             await ground.open()
             await ground.start()
