--- a/elderlock/fleet/based.py
+++ b/elderlock/fleet/based.py
@@ -51,9 +51,10 @@
     def of(cls, environ: MutableMapping[str, str]) -> Basis | None:
         """None where no base started this process. What it starts itself must not take the base for its own, nor write
         to the base: the variable is taken out, and the standard output is given to the log."""
-        text = environ.pop(ENVIRON, "")
+        text = environ.get(ENVIRON, "")
         if not text:
             return None
+        del environ[ENVIRON]
         out = os.fdopen(os.dup(sys.stdout.fileno()), "wb", buffering=0)
         os.dup2(sys.stderr.fileno(), sys.stdout.fileno())
         return cls(msgspec.json.decode(text, type=Started), out)
