Complete what a majority may hold unseen, and tell a leader alone how far its plan is

Causes: whoever's news had come by a longer way first was asked for again in each word (fleet/exchange.py, lacks), an agent that learnt a record told all others of it again (fleet/agent.py, learn), and each step of a unit was told to all in place of the leader (fleet/conductor.py, _see). The slower spread showed a fault: a change that a majority had accepted while its proposer heard too few answers was known to nobody, and all who looked said 'it is so already': the way back stood still for good (fleet/keeper.py, change).

--- a/elderlock/fleet/agent.py
+++ b/elderlock/fleet/agent.py
@@ -196,9 +196,9 @@
         self.store_error = f"the store fails: {error}"
         log.error("store trouble", agent=self.name, error=self.store_error)
 
-    def keep(self, records: list[Record], line: f.AuditLine) -> int:
-        """In the store first; then in force here and on the way to all. Raises `StoreError`, and then
-        nothing has happened."""
+    def keep(self, records: list[Record], line: f.AuditLine, ours: bool = True) -> int:
+        """In the store first; then in force here and, where it is `ours`, on the way to all. Raises `StoreError`, and
+        then nothing has happened."""
         try:
             number = self.store.keep(records, line)
         except StoreError as error:
@@ -209,7 +209,8 @@
         for charge in self.charges.values():
             charge.write_boot()
             charge.link.kick()
-        self.spread()
+        if ours:
+            self.spread()
         return number
 
     def learn(self, records: Iterable[Record], via: str) -> None:
@@ -221,7 +222,9 @@
             unix_ms(), via, "agent", f"learnt {_targets(news)}", max(r.generation for r in news), ""
         )
         try:
-            self.keep(news, line)
+            # whoever made it has told all; who hears of it at second hand tells with its next word, or each record
+            # would cost a group as many words as it has pairs
+            self.keep(news, line, ours=not via.startswith("agent "))
         except StoreError:
             return
         log.info("records learnt", agent=self.name, via=via, records=_targets(news))
@@ -257,6 +260,11 @@
         for peer in self.peers:
             peer.kick()
 
+    def tell(self, name: str) -> None:
+        for peer in self.peers:
+            if peer.name == name:
+                peer.kick()
+
     def note(self, who: str, role: str, what: str, outcome: str) -> None:
         """In the audit. Raises `StoreError`."""
         self.store.keep([], f.AuditLine(unix_ms(), who, role, what, 0, outcome))
--- a/elderlock/fleet/conductor.py
+++ b/elderlock/fleet/conductor.py
@@ -75,6 +75,9 @@
     def spread(self) -> None:
         """Tells all other agents at once what is new."""
 
+    def tell(self, name: str) -> None:
+        """The same to one."""
+
 
 class Conductor:
     def __init__(self, owner: Owner, keeper: Keeper, order: Iterable[str], rng: random.Random) -> None:
@@ -378,7 +381,7 @@
         act = carrier.step(plan, unit, look, self._now(), self.halted(plan))
         charge.said = carrier.said
         if carrier.said != before:
-            self._owner.spread()
+            self._owner.tell(plan.leader)
         if act is not None:
             self._acting.add(unit.target)
             self._task(self._act(act, plan, unit))
@@ -389,7 +392,7 @@
             return
         act, news = self._owner.renewal.see(plan, unit, self.halted(plan))
         if news:
-            self._owner.spread()
+            self._owner.tell(plan.leader)
         if act == "settle":
             self._owner.renewal.settle()
         elif act == "switch":
--- a/elderlock/fleet/exchange.py
+++ b/elderlock/fleet/exchange.py
@@ -98,7 +98,7 @@
             agent.records.digest(), tuple(agent.records) if with_records else (),
             view if lacks is None else tuple(heard for heard in view if heard.agent in lacks),
             keeper.told() if keeper is not None and newer else b"", version,
-            tuple(h.agent for h in view if h.age_ms < 0 or h.age_ms > LACKED_AFTER or h.via),
+            self.membership.lacking(now_ms(), LACKED_AFTER),
             conductor.told_halts() if conductor is not None else (),
             agent.renewal.brief(),
         )  # fmt: skip
--- a/elderlock/fleet/keeper.py
+++ b/elderlock/fleet/keeper.py
@@ -238,16 +238,27 @@
             while True:
                 round = await self._round(changed, self.voters, self.quorum)
                 if round.phase is Phase.CHOSEN:
-                    self.learn(ledgers.decode(round.value))
-                    for peer in self._owner.peers:
-                        peer.kick()
+                    self._chosen(round.value)
                     return Made(True, self.ledger)
                 if round.phase is Phase.DECLINED:
-                    return Made(False, ledgers.decode(round.value), tuple(declined))
+                    read = ledgers.decode(round.value)
+                    if read.version > self.ledger.version:
+                        # accepted, perhaps by a proposer that heard too few answers or died, and known to be chosen by
+                        # nobody: a plan turned by it would stand still for good, as all who saw it would say that it is
+                        # so already. Written once more as it is, it is chosen, and told.
+                        again = await self._round(lambda value: value, self.voters, self.quorum)
+                        if again.phase is Phase.CHOSEN:
+                            self._chosen(again.value)
+                    return Made(False, read, tuple(declined))
                 if time.monotonic() >= ends:
                     return Made(False, self.ledger)
                 await asyncio.sleep(self._rng.uniform(*AGAIN))
 
+    def _chosen(self, value: bytes) -> None:
+        self.learn(ledgers.decode(value))
+        for peer in self._owner.peers:
+            peer.kick()
+
     async def read(self) -> Ledger | None:
         """The ledger through a majority: at least as new as any that was chosen before this was called. None where too
         few answer. What is read may be on its way still, so it is good to refuse by, not to act on alone. Raises
--- a/elderlock/fleet/membership.py
+++ b/elderlock/fleet/membership.py
@@ -21,6 +21,7 @@
     incarnation: int = 0
     sequence: int = 0
     spoke_at: float | None = None  # by this agent's clock
+    direct_at: float | None = None  # the same, of words that it spoke to us itself
     via: str = ""
     limiters: tuple[LimiterBrief, ...] = ()
 
@@ -36,6 +37,8 @@
         self, name: str, incarnation: int, sequence: int, limiters: tuple[LimiterBrief, ...], now: float
     ) -> None:
         """It spoke itself. A stranger, who is in no group file, is not kept."""
+        if (member := self._members.get(name)) is not None:
+            member.direct_at = now
         self._news(name, incarnation, sequence, limiters, now, "")
 
     def relayed(self, heard: Iterable[Heard], via: str, now: float) -> None:
@@ -57,6 +60,14 @@
         member.spoke_at = at if member.spoke_at is None else max(member.spoke_at, at)
         member.via = via
 
+    def lacking(self, now: float, after: float) -> tuple[str, ...]:
+        """Of whom others are asked: who has said nothing himself for `after` ms. One whose news came by a longer way
+        first is not among them while he speaks: to ask for him made each word carry all others, again and again."""
+        return tuple(
+            name for name, member in sorted(self._members.items())
+            if member.direct_at is None or now - member.direct_at > after
+        )  # fmt: skip
+
     def view(self, now: float) -> tuple[Heard, ...]:
         return tuple(self._view(name, member, now) for name, member in sorted(self._members.items()))
 
--- a/elderlock/rollout/leading.py
+++ b/elderlock/rollout/leading.py
@@ -55,15 +55,19 @@
     def __init__(self) -> None:
         self._of: dict[str, deque[tuple[float, Figures]]] = {}
         self._life: dict[str, tuple[Figures, Figures]] = {}  # of processes before, and the last of this one
+        self._kept_at: dict[str, float] = {}
 
     def heard(self, name: str, figures: Figures, now: float) -> None:
         base, last = self._life.get(name, (Figures(), Figures()))
+        if figures is last and now - self._kept_at.get(name, now) <= KEPT_EVERY:
+            return  # the same word again: agents look more often than they hear
         if figures.since(last) is None:
             base = base.plus(last)  # another process counts from nothing
         self._life[name] = base, figures
         total, series = base.plus(figures), self._of.setdefault(name, deque())
         if not series or series[-1][1] != total or now - series[-1][0] > KEPT_EVERY:
             series.append((now, total))
+            self._kept_at[name] = now
         while len(series) > 2 and series[1][0] < now - KEPT:
             series.popleft()
 
