Judge the limiters that operators have out in schedules too, and a plan at the budget's edge

Need: in scenarios and trials boxes alone were counted against what may be out; limiters were judged in sim/rollouts.py alone. The judge now holds both, and bites on a build that knows no budget (tests/sim/test_judges.py). On real processes a drain of three, while discovery drains two others, waits with what it has, says why, and ends once they are back.

--- a/elderlock/sim/agreed.py
+++ b/elderlock/sim/agreed.py
@@ -17,7 +17,7 @@
 
 from elderlock.sim.judges import Judge, Rules
 
-OUT = "boxes that operators took out"
+OUT: dict[str, str] = {"box": "boxes that operators took out", "limiter": "limiters that operators took out"}
 
 
 class Holding(NamedTuple):
@@ -146,20 +146,21 @@
         self.acts: list[Act] = []
         self.seen: list[tuple[float, str, str, int]] = []
 
-    def took_out(self, box: str, at: float) -> None:
-        """A tool told its operator that a limiter sends nothing to the box any more."""
-        if not any(held.holder == box and held.ended == math.inf for held in self.holdings):
-            self.holdings.append(Holding(OUT, box, at, at))
+    def took_out(self, kind: str, target: str, at: float) -> None:
+        """A tool told its operator that a limiter sends nothing to the box any more, or that the limiter is drained."""
+        if not any(held.holder == target and held.ended == math.inf for held in self.holdings):
+            self.holdings.append(Holding(OUT[kind], target, at, at))
 
-    def brings_back(self, box: str, at: float) -> None:
+    def brings_back(self, target: str, at: float) -> None:
         """An operator's command to bring it back begins."""
         self.holdings = [
-            held._replace(ended=max(at, held.granted)) if held.holder == box and held.ended == math.inf else held
+            held._replace(ended=max(at, held.granted)) if held.holder == target and held.ended == math.inf else held
             for held in self.holdings
         ]
 
     def ended(self, at: float) -> None:
-        single = [holding for holding in self.holdings if holding.what not in self.bounds and holding.what != OUT]
+        budgets = OUT.values()
+        single = [held for held in self.holdings if held.what not in self.bounds and held.what not in budgets]
         within = bounded(self.holdings, {what: most for what, most in self.bounds.items() if most > 0})
         for clash in (*exclusive(single), *within, *fenced(self.acts), *never_back(self.seen)):
             self.breaks(clash.at, clash.text)
--- a/elderlock/sim/facts.py
+++ b/elderlock/sim/facts.py
@@ -5,6 +5,7 @@
 
 from typing import Any
 
+from elderlock.sim.agreed import OUT
 from elderlock.sim.judges import Rules
 from elderlock.sim.scenario import Scenario, floor_name
 from elderlock.standins.settings import facts
@@ -45,7 +46,15 @@
     share = scenario.settings.budget
     if not share:
         return ""
-    return f"[budget.boxes]\nshare = {share}\nweight_share = 1.0\nfloor_least = 0\n"
+    boxes = f"[budget.boxes]\nshare = {share}\nweight_share = 1.0\nfloor_least = 0\n"
+    return boxes + f"[budget.limiters]\nshare = {share}\n"
+
+
+def most_out(scenario: Scenario) -> dict[str, float]:
+    """Of boxes and limiters that operators may have taken out at once, without force; 0 for no bound."""
+    s = scenario.settings
+    limiters = s.most_out(scenario.limiters) if scenario.agents else 0
+    return {OUT["box"]: s.most_out(scenario.boxes), OUT["limiter"]: limiters}
 
 
 def operators_of(scenario: Scenario) -> str:
--- a/elderlock/sim/shell_faults.py
+++ b/elderlock/sim/shell_faults.py
@@ -135,11 +135,13 @@
                 for row in account.rows():
                     # one that ends only once another operator has undrained it claims nothing any more
                     holds = drained and self._undrains.get(target, 0) == undrains
-                    if holds and kind == "box" and row.state == "reached" and row.limiter:
+                    if not (holds and row.state == "reached" and row.limiter):
+                        continue
+                    self.world.agreed.took_out(kind, target, self.world.at())
+                    if kind == "box":
                         # by the limiter's own clock, which is read at its start
                         since = row.at - EPOCH * 1000.0 - self.world.offsets.get(row.limiter, 0.0)
                         self.world.bench.claimed(self.world.at(), operator, target, row.limiter, since)
-                        self.world.agreed.took_out(target, self.world.at())
             group.close()
             self.world.trace.event(self.world.at(), process.name, f"{fault.what} {target}: {result.exit.name}")
             self.world.commands.append((f"{fault.what} {target}", int(result.exit)))
--- a/elderlock/sim/shells.py
+++ b/elderlock/sim/shells.py
@@ -29,9 +29,9 @@
 from elderlock.net.gateway import Gateway
 from elderlock.net.targets import TargetList
 from elderlock.sim import judges as j
-from elderlock.sim.agreed import OUT, Agreed
+from elderlock.sim.agreed import Agreed
 from elderlock.sim.clients import Clients
-from elderlock.sim.facts import budget_of, operators_of, settings_of, talks
+from elderlock.sim.facts import budget_of, most_out, operators_of, settings_of, talks
 from elderlock.sim.figures import Account, Result
 from elderlock.sim.models.ways import Ways
 from elderlock.sim.scenario import Fault, Scenario, floor_name
@@ -95,7 +95,7 @@
         self.rules = rules or j.Rules(cold_share=kind.cold_share, cold_ms=kind.cold_ms)
         self.lost, self.growth = j.Lost(self.rules), j.Growth(self.rules)
         self.ceilings, self.reports = j.Ceilings(self.rules), j.Reports(self.rules)
-        self.agreed = Agreed(self.rules, {OUT: scenario.settings.most_out(scenario.boxes)})
+        self.agreed = Agreed(self.rules, most_out(scenario))
         self.bench = j.Bench([
             self.lost, j.Drains(self.rules), j.Cold(self.rules), self.ceilings, self.reports, j.Failures(self.rules),
             j.Rest(self.rules, self._at_rest), self.growth, j.Agreement(self.rules, self._digests), self.agreed,
--- a/elderlock/trial/faults.py
+++ b/elderlock/trial/faults.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 from typing import Any
 
-from elderlock.sim.agreed import OUT, Agreed
+from elderlock.sim.agreed import Agreed
+from elderlock.sim.facts import most_out
 from elderlock.sim.scenario import Fault, by_of, cut_pairs, floor_name
 from elderlock.sim.stage_faults import StageFaults
 from elderlock.standins.world import OPERATORS
@@ -32,7 +33,7 @@
         super().__init__(world)
         self._undrains: dict[str, int] = {}
         self.commands: list[tuple[str, int]] = []  # an operator's, with its exit code
-        self.agreed = Agreed(world.rules, {OUT: world.scenario.settings.most_out(world.scenario.boxes)})
+        self.agreed = Agreed(world.rules, most_out(world.scenario))
 
     async def settled(self) -> None:
         """Until all that was begun is done."""
@@ -245,13 +246,15 @@
             await tool.end()
         world.note("command", name, f"{verb} {target}: exit {code}")
         self.commands.append((f"{verb} {target}", code))
-        if drained and kind == "box" and self._undrains.get(target, 0) == undrains:
+        if drained and self._undrains.get(target, 0) == undrains:
             for row in _rows(log):
-                if row["state"] == "reached" and row["limiter"]:
+                if row["state"] != "reached" or not row["limiter"]:
+                    continue
+                self.agreed.took_out(kind, target, world.at())
+                if kind == "box":
                     life = world.members[int(row["limiter"][1:])].life
                     since = world.since(row["at"] - (life.clock_ms if life is not None else 0.0))
                     world.bench.claimed(world.at(), operator, target, row["limiter"], since)
-                    self.agreed.took_out(target, world.at())
         return code
 
 
--- a/tests/rollout/test_release_processes.py
+++ b/tests/rollout/test_release_processes.py
@@ -8,15 +8,19 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from functools import partial
+from typing import Any
 
+import msgspec
 import pytest
 
 from elderlock.fleet import messages as f
 from elderlock.fleet import operate_plans as operate
 from elderlock.fleet.client import Group
 from elderlock.rollout.plans import Plan, Terms
-from elderlock.sim.scenario import Settings
+from elderlock.sim.scenario import Fault, Settings
+from elderlock.standins.listener import Fault as Breaks
 from elderlock.standins.waiting import run
+from elderlock.trial.faults import TrialFaults
 from elderlock.trial.ground import Ground
 from elderlock.trial.processes import Child, python
 from elderlock.trial.standing import judged, standing
@@ -161,6 +165,43 @@
     run(test(), within=90.0)
 
 
+@pytest.mark.parametrize("what", ["drain", "refusing"])
+def test_a_plan_waits_at_the_budgets_edge_for_boxes_that_fail_or_that_discovery_drains(what: Any) -> None:
+    """Three of six may be out, and the plan wants three. Two others go meanwhile by no doing of ours: it waits with what
+    it has, says why, and ends once they are back."""
+
+    async def test() -> None:
+        async with three() as here:
+            ground, faults = here.ground, TrialFaults(here.ground)
+            ground.ask()
+            terms = msgspec.structs.replace(TERMS, pause=3.0)
+            make = operate.begin("d" * 32, "drain", "", (), [BOXES[:1], BOXES[1:2], BOXES[2:3]], terms, "")
+            while (said := await operate.ask_any(here.group, make, f.Begun, None)).plan is None:
+                assert any("yet" in line or "does not" in line or "few" in line for line in said.lines), said.lines
+                await asyncio.sleep(0.1)
+            for uid in BOXES[4:]:
+                await faults.box_fault(Fault(0.0, what, f"box:{uid[3:]}"), ground.listing.boxes[uid])
+
+            def waits(known: operate.Known) -> bool:
+                return any("would be out" in text for answer in known.answers.values() for text in answer.waits)
+
+            while not waits(known := await here.known()):
+                await asyncio.sleep(0.05)
+            plan = known.plan("d" * 32)
+            assert plan is not None and plan.state == "running"
+            assert any(unit.stage == "waiting" for unit in plan.units) and len(known.newest.permits) <= 2  # type: ignore[union-attr]
+            for uid in BOXES[4:]:
+                box = ground.listing.boxes[uid]
+                if what == "drain":
+                    faults._undrain(box)
+                else:
+                    await box.fail(Breaks.NONE)
+            await here.until("done", "d" * 32)
+            assert judged(ground).broken == []
+
+    run(test(), within=90.0)
+
+
 def test_a_drain_of_many_goes_on_without_its_tool_and_its_leader() -> None:
     async def test() -> None:
         async with three() as here:
--- a/tests/sim/test_judges.py
+++ b/tests/sim/test_judges.py
@@ -48,6 +48,11 @@
         scenario(agents=3, settings=Settings(budget=0.34), fault=tuple(Fault(2.0, "op-drain", f"box:{n}") for n in range(6))),
         flaws.grants_alone,
     ),
+    (
+        Agreed.name, "shells",
+        scenario(agents=3, settings=Settings(budget=0.34), fault=tuple(Fault(2.0, "op-drain", f"limiter:{n}") for n in range(3))),
+        flaws.knows_no_budget,
+    ),
     (j.Agreement.name, "shells", scenario(agents=3, fault=(Fault(2.0, "op-drain", "box:0"),)), flaws.hears_no_other),
 ]  # fmt: skip
 
@@ -56,7 +61,7 @@
     return search.play(given, 5, floor)
 
 
-@pytest.mark.parametrize("rule, floor, given, mutate", BITES, ids=[f"{b[0]}-{b[1]}".replace(" ", "_") for b in BITES])
+@pytest.mark.parametrize("rule, floor, given, mutate", BITES, ids=[f"{n}-{b[0]}-{b[1]}".replace(" ", "_") for n, b in enumerate(BITES)])
 def test_a_judge_bites(
     rule: str, floor: str, given: Scenario, mutate: flaws.Flaw, monkeypatch: pytest.MonkeyPatch
 ) -> None:
