Hold agents down through losses of power that overlap; say an agent's last words with its end

Seen beside ten busy loops: 'agent-1: it ended with -9, and nobody had ended it' in test_power_lost_three_times... The ground started an agent in the dark in two ways: a timer of an earlier end (ground._agent_ended), and a loss that began before the last was over, whose end took the mark of the next away (lose_power). The last words of the agent's log now stand beside such a finding.

--- a/elderlock/trial/ground.py
+++ b/elderlock/trial/ground.py
@@ -96,6 +96,7 @@
     lied: bool = False  # its disk said of a sync that it was done, and it was not
     armed: bool = False  # to be killed at a step of its disk, in this life or a later one
     held_down: bool = False  # started again by whoever holds it down
+    dark: int = 0  # losses of power that it has not come back from: one may begin before the last is over
     states: int = 0  # how often what it had kept was taken away by us
 
 
@@ -373,6 +374,14 @@
                 raise TrialError(f"{who} did not take clients within {within:g} s; {self._last_words()}")
             await asyncio.sleep(LOOK)
 
+    def _agent_of(self, limiter: int) -> int:
+        return next(agent for agent in range(self.agents) if limiter in self.share(agent))
+
+    @staticmethod
+    def _last_line(log: Path) -> str:
+        lines = log.read_text(errors="replace").splitlines() if log.exists() else []
+        return f"; the agent's last words: {lines[-1][:300]}" if lines else ""
+
     def _last_words(self) -> str:
         found = []
         for path in self.logs():
@@ -400,9 +409,15 @@
         if agent.armed and code == -signal.SIGKILL and not agent.block.armed:
             agent.armed = False
         elif not agent.doomed and code != 0:
-            self.bench.failure(self.at(), agent.child.name, f"it ended with {code}, and nobody had ended it")
+            said = self._last_line(agent.child.log)
+            self.bench.failure(self.at(), agent.child.name, f"it ended with {code}, and nobody had ended it{said}")
+        if not agent.held_down:
+            self._timers.append(self.loop.call_later(AGENT_AGAIN, self._again_agent, agent))
+
+    def _again_agent(self, agent: AgentProcess) -> None:
+        # power that was lost since holds it down: started in the dark it was killed by us with nobody to say so
         if not agent.held_down:
-            self._timers.append(self.loop.call_later(AGENT_AGAIN, self._again, self._start_agent, agent))
+            self._again(self._start_agent, agent)
 
     def _again(self, start: Callable[[Any], Any], which: Any) -> None:
         if not self._closed:
@@ -457,7 +472,8 @@
         doomed = life is None or life.doomed or life.process.pid in member.unseen
         if not doomed and code != 0 and not self._closed:
             how = "without a word" if code == RUNS else f"with {code}"
-            self.bench.failure(self.at(), name, f"it ended {how}, and nobody had ended it")
+            said = self._last_line(self.home(self._agent_of(member.number)).with_suffix(".log")) if self.agents else ""
+            self.bench.failure(self.at(), name, f"it ended {how}, and nobody had ended it{said}")
 
     def _pids(self) -> dict[str, int]:
         return {life.name: life.process.pid for member in self.members if (life := member.life) is not None}
@@ -581,6 +597,7 @@
         self.relays.befall("cut", pairs)
         for agent in agents:
             self.agent_processes[agent].held_down = True
+            self.agent_processes[agent].dark += 1
         for name in names[len(limiters) : len(limiters) + len(agents)] + names[: len(limiters)]:
             self.signal(name, signal.SIGKILL, "its power was lost")
         for agent in agents:
@@ -602,7 +619,10 @@
             if (box := self.registry.boxes.get(uid)) is not None:
                 self.registry.changed(box)
         for agent in agents:
-            await self._start_agent(self.agent_processes[agent])
+            process = self.agent_processes[agent]
+            process.dark -= 1
+            if not process.dark:
+                await self._start_agent(process)
 
     async def _kill_unseen(self, limiters: list[int], agents: list[int]) -> None:
         """An agent may have started one a moment ago, which no look at its seam has seen yet, or which is between its
