--- a/elderlock/fleet/agent.py
+++ b/elderlock/fleet/agent.py
@@ -289,16 +289,17 @@
 
 
 async def serve(
-    path: Path, beside: Callable[[Agent], Beside | None] = lambda agent: None, host: Host | None = None
-) -> None:
-    """Runs the agent of that file on `host` until SIGTERM or SIGINT. Raises `FileError`, `StoreError`, `OSError`."""
+    path: Path, beside: Callable[[Agent], Beside | None] = lambda agent: None, host: Host | None = None,
+    basis: Basis | None = None,
+) -> None:  # fmt: skip
+    """Runs the agent of that file on `host` until SIGTERM or SIGINT, under `basis` or the base that started it, if any.
+    Raises `FileError`, `StoreError`, `OSError`."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    basis = Basis.of(os.environ)
-    agent = Agent(path, read_agent(path), random.Random(), host, basis)
-    if basis is not None:
+    if basis is None and (basis := Basis.of(os.environ)) is not None:
         basis.watch(stop.set)
+    agent = Agent(path, read_agent(path), random.Random(), host, basis)
     try:
         other = beside(agent)
         # a SIGHUP that nobody handles would end the agent
--- a/elderlock/fleet/conductor.py
+++ b/elderlock/fleet/conductor.py
@@ -401,7 +401,7 @@
 
     async def _go(self, plan: Plan, unit: Unit) -> None:
         try:
-            if await self._confirmed(plan, unit):
+            if await self._confirmed(plan, unit) or (unit.stage == "done" and await self._passed(plan, unit)):
                 what = f"this agent goes to version {plan.toward(unit) or 'of its base'}"
                 self._owner.note(self._owner.name, "agent", what, plan.id[:8])
                 self._owner.renewal.go(plan, unit)
@@ -452,6 +452,14 @@
         now = ledger.plan(plan.id)
         return now is not None and now.unit(unit.target) == unit and now.state == "running" and not self.halted(plan)
 
+    async def _passed(self, plan: Plan, unit: Unit) -> bool:
+        """The same of a unit that is done, of the newest plan of its kind, which may be over."""
+        ledger = await self._keeper.read()
+        if ledger is None or self._owner.name in dict(ledger.given_up):
+            return False
+        now = [each for each in ledger.plans if each.kind == plan.kind][-1:]
+        return bool(now) and now[0].id == plan.id and now[0].unit(unit.target) == unit and now[0].state != "halted"
+
     # Leading
 
     async def _lead(self) -> None:
--- a/elderlock/rollout/carrying.py
+++ b/elderlock/rollout/carrying.py
@@ -132,8 +132,12 @@
         return Said(generation, "switching"), "switch"
     if unit.stage in ("trial", "done") and generation:
         if look.version != toward:
+            if unit.stage == "done" and look.failed < generation:
+                # it was passed while this agent could not know, and fell back unsettled since: once more, and once
+                # only, as the base obeys no word that is not newer than its last failure
+                return Said(generation, "switching"), "switch"
             why = look.why or f"it runs {look.version or 'the version of the files'}"
             return Said(generation, "failed", f"its base fell back from version {toward}: {why}"), None
         said = Said(generation, "serving" if look.serving else "starting")
-        return said, "settle" if unit.stage == "done" and look.trial else None
+        return said, "settle" if unit.stage == "done" and look.trial and look.serving else None
     return Said(), None
--- /dev/null
+++ b/elderlock/sim/renewals.py
@@ -0,0 +1,274 @@
+"""Releases of agents in simulated time: the agents as they ship, each under the base's decisions, over modelled
+limiters. Versions that crash at once, crash in their trial, or that no other understands; agents and bases that are
+killed, stopped and cut off. What is judged is seen from outside: processes of agents and limiters, and which version
+each ran."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from elderlock.fleet import agent as agents
+from elderlock.fleet import messages as f
+from elderlock.fleet import operate_plans as operate
+from elderlock.fleet.based import Basis, Go, Ready, Settled, Started, word_of
+from elderlock.rollout.basing import Base, Do, Held
+from elderlock.rollout.plans import Plan, Terms
+from elderlock.sim.agreed import Holding, bounded
+from elderlock.sim.rollouts import SLACK, VERSION, Case, Played, ReleaseWorld
+from elderlock.sim.virtual.host import SimHost
+from elderlock.sim.virtual.processes import Process, context_of, start
+
+OUT = "agents that vote, out by our doing"
+TERMS = Terms(start_within=8.0, settle=1.0, bake=6.0, pause=0.5, patience=60.0, auto_back=True)
+BUILDS = ("good", "crashes at start", "crashes in its trial", "mute")
+CRASH_AFTER = 3.0  # s of a start, of the build that crashes in its trial
+START_TAKES = 0.4  # s that the interpreter needs
+BASE_AWAY = 2.0  # s till the next base runs
+SETTLED_WITHIN = 240.0  # s after all is healed, and three times what the waves take
+
+
+@dataclass(frozen=True, slots=True)
+class Renewals:
+    """`faults`: how many befall agents and bases in the first `faulty_s`."""
+
+    agents: int = 5
+    limiters: int = 10
+    build: str = "good"
+    faults: int = 0
+    faulty_s: float = 60.0
+    terms: Terms = TERMS
+
+
+class _Pipe:
+    """The agent's words on their way to its base."""
+
+    def __init__(self, heard: Callable[[bytes], None]) -> None:
+        self._heard = heard
+
+    def write(self, data: bytes) -> int:
+        context_of(None).run(self._heard, data)  # the base is another process: it lives on where the agent does not
+        return len(data)
+
+
+class RenewalWorld(ReleaseWorld):
+    def __init__(self, renewals: Renewals, seed: int, log: bool = False) -> None:
+        self.renewals = renewals
+        super().__init__(Case(agents=renewals.agents, limiters=renewals.limiters, terms=renewals.terms), seed, log)
+        self._bases: dict[int, Base] = {}
+        self._kept: dict[int, Held] = {}  # on each machine's disk
+        self._timers: dict[int, asyncio.TimerHandle] = {}
+        self._dark: set[int] = set()  # whose base is away
+        self._unsettled: dict[int, set[int]] = {}  # generations that ended in their trial
+        self._switching: set[str] = set()
+
+    # The base's shell
+
+    def _now(self) -> float:
+        return self.loop.time() * 1000.0
+
+    def _start_agent(self, number: int) -> None:
+        """The base of that machine begins."""
+        self._dark.discard(number)
+        base = self._bases[number] = Base(self._kept.get(number, Held()), random.Random(f"base/{self.seed}/{number}"))
+        self._do(number, base.begin(self._now()))
+
+    def _do(self, number: int, do: Do | None) -> None:
+        base = self._bases[number]
+        if do == "start":
+            self._run(number, base)
+        elif do is not None:
+            self.signal(self.agent_processes[number], signal.SIGKILL if do == "kill" else signal.SIGTERM)
+        if (timer := self._timers.pop(number, None)) is not None:
+            timer.cancel()
+        if base.due is not None:
+            wait = max(0.0, base.due - self._now()) / 1000.0
+            self._timers[number] = self.loop.call_later(wait, self._due, number, base)
+
+    def _due(self, number: int, base: Base) -> None:
+        if self._bases[number] is base and number not in self._dark:
+            self._do(number, base.step(self._now()))
+
+    def _said(self, number: int, process: Process, data: bytes) -> None:
+        self.loop.call_soon(self._heard, number, process, data)
+
+    def _heard(self, number: int, process: Process, data: bytes) -> None:
+        base, name = self._bases[number], f"agent-{number}"
+        if number in self._dark or self.agent_processes[number] is not process:
+            return
+        match word_of.decode(data):
+            case Go(to):
+                if (held := base.weigh(to)) is not None:
+                    self._kept[number] = held
+                    self._went(name, held)
+                    self._do(number, base.take(held, self._now()))
+            case Ready():
+                base.ready()
+                self._back(name)
+                self._do(number, None)
+            case Settled(generation):
+                if (kept := base.settled(generation)) is not None:
+                    self._kept[number] = kept
+
+    def _run(self, number: int, base: Base) -> None:
+        held, name, machine = base.held, f"agent-{number}", self.agent_machine(number)
+        version, build = held.which.version, self.renewals.build if held.which.version else "good"
+        host = SimHost(machine, self.io, self._spawned, self.processes, self.signal)
+        process = self.agent_processes[number] = self.process(name, machine, {})
+        pipe: Any = _Pipe(lambda data: self._said(number, process, data))
+        basis = Basis(Started(held, base.starts), pipe)
+        self.say(f"{name} begins on {version or 'the version of its base'}{', on trial' if held.trial else ''}")
+        if version:
+            self.made.ran.add(name)
+            if held.generation in self._unsettled.get(number, ()):
+                self._broken(f"{name} was started on {version} again, which had ended in its trial")
+        pairs = [(machine.name, "*"), ("*", machine.name)] if build == "mute" else []
+        self.ways.separate(pairs)
+
+        async def main() -> int:
+            if build == "crashes at start":
+                return 4
+            await asyncio.sleep(START_TAKES)
+            try:
+                await agents.serve(self.folder / f"{name}.toml", host=host, basis=basis)
+            except Exception as error:
+                self.trace.event(self.at(), name, f"ends: {error!r}")
+                return 2
+            return 0
+
+        def over() -> None:
+            self.ways.join(pairs)
+            self._over(number, process)
+
+        process.on_exit.append(over)
+        if build == "crashes in its trial":
+            self.loop.call_later(CRASH_AFTER, process.end, 3)
+        start(self.loop, process, main)
+
+    def _over(self, number: int, process: Process) -> None:
+        if number in self._dark or self.agent_processes[number] is not process:
+            return
+        base, was = self._bases[number], self._bases[number].held
+        if was.trial and base.phase != "stopping":
+            self._unsettled.setdefault(number, set()).add(was.generation)
+        kept, do = base.exited(f"code {process.exit_code}", self._now())
+        if kept is not None:
+            self._kept[number] = kept
+        self._do(number, do)
+
+    # What is seen
+
+    def _broken(self, text: str) -> None:
+        self.made.after_fence += 1
+        self.made.broken.append(f"{self.at():.0f} ms: {text}")
+
+    def _went(self, name: str, held: Held) -> None:
+        """Its base was told to go: it is out by our doing until it is up again."""
+        if name in self.agents[name].keeper.voters:  # type: ignore[union-attr]
+            self._switching.add(name)
+            self._holdings.append(Holding(OUT, name, self.at(), self.at()))
+        plan = self._newest()
+        self._note(plan)
+        if plan is not None and held.which.version and (plan.state == "halted" or plan.aim == "back"):
+            late = self.at() - self._turned_at
+            if late > SLACK:
+                self._broken(f"{name} was taken to {VERSION} {late:.0f} ms after the plan was {plan.state}, {plan.aim}")
+
+    def _back(self, name: str) -> None:
+        if name in self._switching:
+            self._switching.discard(name)
+            last = next(n for n in reversed(range(len(self._holdings))) if self._holdings[n].holder == name)
+            self._holdings[last] = self._holdings[last]._replace(ended=self.at())
+
+    def _mark(self, name: str, why: str) -> None:
+        """Of limiters nothing goes out here; one that is ended while it serves is told by `_ended`."""
+
+    # The story
+
+    async def _main(self) -> None:
+        given, rng = self.renewals, random.Random(f"story/{self.seed}")
+        await self._open()
+        (self.folder / "versions" / VERSION / "version.toml").write_text('agent = ["agent", "{agent}"]\n')
+        await self._until(lambda: self._voting() and len(self.modelled) == given.limiters, 60.0, "the group to be up")
+        await asyncio.sleep(5.0)
+        begun: operate.Answer | None = None
+        while begun is None or begun.plan is None:
+            begun = await self._asks("an", operate.begin("p" * 32, "agents", VERSION, (), (), given.terms, ""), f.Begun)
+            await asyncio.sleep(0.5)
+        healed = self.at() + 1000.0 * (given.faulty_s + 35.0 if given.faults else 0.0)
+        for _ in range(given.faults):
+            self.loop.call_later(rng.uniform(0.0, given.faulty_s), self._befall_base, rng.randrange(1 << 30))
+        plan = await self._ends(begun.plan.id, healed)
+        if plan is None:
+            return
+        await asyncio.sleep(max(0.0, healed - self.at()) / 1000.0)  # a disk that still fails lets no agent start
+        want = VERSION if plan.aim == "to" else ""
+        wrong = await self._until_all_run(want)
+        if not wrong:
+            # what the release left is what each base starts from now on, whatever ends
+            await asyncio.sleep(2.0)
+            for process in list(self.agent_processes.values()):
+                self.signal(process, signal.SIGKILL)
+            await asyncio.sleep(1.0)
+            wrong = await self._until_all_run(want)
+        if plan.aim == "back":
+            self.made.back_tried += 1
+            self.made.back_complete += not wrong
+        if wrong:
+            self.made.stuck += 1
+            self.made.broken.append(f"{self.at():.0f} ms: {plan.outcome()}, but not {', '.join(wrong)}")
+        for clash in bounded(self._holdings, {OUT: 1.0}):
+            self.made.over_budget += 1
+            self.made.broken.append(f"{clash.at:.0f} ms: {clash.text}")
+        self.made.seconds = self.at() / 1000.0
+
+    async def _until_all_run(self, want: str) -> list[str]:
+        """Which agents do not, after some time."""
+        ends = self.at() + 40_000.0
+        while (wrong := self._wrong(want)) and self.at() < ends:
+            await asyncio.sleep(0.5)
+        return wrong
+
+    def _wrong(self, want: str) -> list[str]:
+        return [
+            f"agent-{number}" for number, base in self._bases.items()
+            if number in self._dark or base.held.which.version != want or not self.agent_processes[number].alive
+        ]  # fmt: skip
+
+    async def _ends(self, id: str, healed: float) -> Plan | None:
+        """The plan once it is over. An operator takes back what stays halted after all is healed."""
+        waves = self.renewals.agents * (5.0 + self.renewals.terms.settle + self.renewals.terms.bake)
+        while self.at() < max(healed, 1000.0) + 1000.0 * (SETTLED_WITHIN + 3.0 * waves):
+            plan = self._newest()
+            self._note(plan)
+            if plan is not None and plan.state == "over":
+                return plan
+            if plan is not None and plan.state == "halted" and self.at() > healed:
+                await self._asks("an", lambda n: f.Steer(n, id, "back"), f.Steered)
+            await asyncio.sleep(0.25)
+        self.made.stuck += 1
+        self.made.broken.append(f"{self.at():.0f} ms: the plan is not over: {plan.state if plan else 'there is none'}")
+        return None
+
+    def _befall_base(self, seed: int) -> None:
+        rng = random.Random(seed)
+        number = rng.randrange(self.renewals.agents)
+        if rng.random() < 0.6:
+            self._befall(seed)
+        elif number not in self._dark:
+            self.say(f"the machine's base {number} is killed, and its agent with it")
+            self._dark.add(number)
+            base, process = self._bases[number], self.agent_processes[number]
+            if base.held.trial:
+                # an end that no base saw: the next one may start it once more
+                self._unsettled.get(number, set()).discard(base.held.generation)
+            self.signal(process, signal.SIGKILL)
+            self.loop.call_later(BASE_AWAY, self._start_agent, number)
+
+
+def play(renewals: Renewals, seed: int, log: bool = False) -> Played:
+    return RenewalWorld(renewals, seed, log).played()
