Try an agent that failed on the way back again at an operator's word

Seen in the simulation (agents=5, seed 122, 16 faults): an agent cut off while it started on the way back counted as failed under its generation for ever, so each go-on and each back halted at once (rollout/steps.py, go_on and turn_back). What is out of agents stays out under a new generation.

--- a/elderlock/rollout/steps.py
+++ b/elderlock/rollout/steps.py
@@ -221,7 +221,19 @@
         return [DONE_ALREADY] if plan.turn == turn + 1 else [f"it runs, by {plan.why or plan.by}"]
     if plan.turn != turn:
         return [f"it was halted again since you looked: {plan.why}"]
-    return _with(ledger, msgspec.structs.replace(plan, state="running", why=f"go-on of {by}", turn=plan.turn + 1))
+    why = f"go-on of {by}"
+    ledger, plan = _tried_again(ledger, plan)
+    return _with(ledger, msgspec.structs.replace(plan, state="running", why=why, turn=plan.turn + 1))
+
+
+def _tried_again(ledger: Ledger, plan: Plan) -> tuple[Ledger, Plan]:
+    """Agents that are out stay so under generations of their own: one that had failed would be told as failed under the
+    old one for ever, and each go-on would halt at once."""
+    for unit in plan.units if plan.kind == "agents" else ():
+        if unit.stage == "out":
+            ledger = above(ledger, 0)
+            plan = with_unit(plan, msgspec.structs.replace(unit, generation=ledger.generation))
+    return ledger, plan
 
 
 def turn_back(ledger: Ledger, id: str, why: str) -> Step:
@@ -233,6 +245,7 @@
     if plan.aim == "back":
         if plan.state == "running":
             return [DONE_ALREADY]
+        ledger, plan = _tried_again(ledger, plan)
         return _with(ledger, msgspec.structs.replace(plan, state="running", why=why, turn=plan.turn + 1))
     if plan.state == "over" and any(other.state != "over" and other.kind == plan.kind for other in ledger.plans):
         return ["another plan of its kind is under way since"]
--- a/tests/rollout/test_renewals.py
+++ b/tests/rollout/test_renewals.py
@@ -36,12 +36,13 @@
     assert played.good(), played.broken
 
 
-@pytest.mark.parametrize("agents, seed, what", [
-    (3, 2, "one that was passed while it slept is killed before it settles"),
-    (5, 14, "on the way back one is out, and an earlier one is heard again"),
+@pytest.mark.parametrize("agents, seed, faults, what", [
+    (3, 2, 10, "one that was passed while it slept is killed before it settles"),
+    (5, 14, 10, "on the way back one is out, and an earlier one is heard again"),
+    (5, 122, 16, "one that failed on the way back is tried again at an operator's word"),
 ])  # fmt: skip
-def test_histories_that_a_search_found(agents: int, seed: int, what: str) -> None:
-    played = play(Renewals(agents=agents, limiters=agents, faults=10), seed)
+def test_histories_that_a_search_found(agents: int, seed: int, faults: int, what: str) -> None:
+    played = play(Renewals(agents=agents, limiters=agents, faults=faults), seed)
     assert played.good(), (what, played.broken)
 
 
