--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -27,6 +27,7 @@
 from elderlock.fleet import operate_plans as operate
 from elderlock.fleet.client import Group
 from elderlock.rollout.plans import Plan, Terms
+from elderlock.sim import renewals
 from elderlock.sim.agreed import Holding, bounded
 from elderlock.sim.rollouts import BUILDS, Case, Played, play
 from elderlock.sim.scenario import Settings
@@ -255,25 +256,42 @@
     return given[0], play(*given)
 
 
+def one_renewal(given: tuple[renewals.Renewals, int]) -> tuple[renewals.Renewals, Played]:
+    return given[0], renewals.play(*given)
+
+
+def releases_of_agents(long: bool) -> list[tuple[renewals.Renewals, int]]:
+    count = 30 if long else 5
+    return [
+        (renewals.Renewals(agents=size, limiters=size, build=build, faults=faults), seed)
+        for size in (3, 5) for build in renewals.BUILDS for faults in (0, 10) for seed in range(count if faults else 1)
+    ]  # fmt: skip
+
+
 def simulated(long: bool) -> dict[str, Any]:
     todo = cases(long)
     with ProcessPoolExecutor(7, mp_context=multiprocessing.get_context("spawn")) as pool:
         large = pool.submit(one, (LARGE, 1)) if long else None
         played = list(pool.map(one, todo))
+        renewed = list(pool.map(one_renewal, releases_of_agents(long)))
         played += [large.result()] if large is not None else []
     bad = [p for case, p in played if not BUILDS[case.build].good]
     calm = [p for case, p in played if BUILDS[case.build].good and not (case.faults or case.words or case.sleeper)
             and case.lone_floor_at is None and case.leader_gone is None]  # fmt: skip
-    for case, p in played:
+    for given, p in [*played, *renewed]:
         if not p.good():
-            print("broken:", case, p.broken[:3], flush=True)
+            print("broken:", given, p.broken[:3], flush=True)
+    # with faults the first of the agents may pass its trial before the fault of its version shows
+    bad += [p for given, p in renewed if given.build != "good" and not given.faults]
+    calm += [p for given, p in renewed if given.build == "good" and not given.faults]
+    every = [p for _, p in played] + [p for _, p in renewed]
     return {
-        "simulated_histories": len(played),
-        "over_budget": sum(p.over_budget for _, p in played), "permits_doubled": sum(p.doubled for _, p in played),
-        "acted_after_fence": sum(p.after_fence for _, p in played), "plans_stuck": sum(p.stuck for _, p in played),
+        "simulated_histories": len(every), "agent_releases": len(renewed),
+        "over_budget": sum(p.over_budget for p in every), "permits_doubled": sum(p.doubled for p in every),
+        "acted_after_fence": sum(p.after_fence for p in every), "plans_stuck": sum(p.stuck for p in every),
         "bad_releases": len(bad), "bad_releases_stopped_in_first_wave": sum(p.ran <= p.first_wave for p in bad),
         "good": len(calm), "good_halted": sum(bool(p.halted_why) for p in calm),
-        "back_tried": sum(p.back_tried for _, p in played), "back_complete": sum(p.back_complete for _, p in played),
+        "back_tried": sum(p.back_tried for p in every), "back_complete": sum(p.back_complete for p in every),
         "halt_ms": [ms for _, p in played for ms in p.halt_ms],
         "limiters_simulated": max(case.limiters for case, _ in played),
     }  # fmt: skip
@@ -301,6 +319,7 @@
     good, halted = r.good + s["good"], r.good_halted + s["good_halted"]
     print(json.dumps({
         "histories": r.histories, "simulated_histories": s["simulated_histories"],
+        "simulated_agent_releases": s["agent_releases"],
         "over_budget": r.over_budget + s["over_budget"], "permits_doubled": s["permits_doubled"],
         "acted_after_fence": s["acted_after_fence"], "plans_stuck": r.stuck + s["plans_stuck"],
         "halt_ms_max": round(max(halts, default=-1.0), 1), "bad_releases": r.bad + s["bad_releases"],
