Go on in the rollout benchmark with the turn of the halt that it measures

The halt is in force by word before it has a turn, and the benchmark went on with the turn before it, which is refused as it should be (benchmarks/rollout.py, operate_halt).

--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -198,7 +198,10 @@
         if all(plan.state == "halted" or soft for plan, soft in zip(told, halts, strict=True)):
             break
     found.halt_ms.append((time.monotonic() - began) * 1000.0)
-    turn = told[0].turn
+    # in force by word alone it has no turn yet; a go-on of an older one would be refused, as it should be
+    while (plan := (await operate.known(group, 1.0)).plan(id)) is None or plan.state != "halted":
+        await asyncio.sleep(0.02)
+    turn = plan.turn
     await operate.ask_any(group, lambda n: f.Steer(n, id, "go-on", turn), f.Steered, 5.0)
 
 
