--- a/elderlock/rollout/basing.py
+++ b/elderlock/rollout/basing.py
@@ -49,7 +49,7 @@
 
 class Base:
     """Times in ms. Invariants: at most one process is asked for at a time; a word that is not newer than the last
-    changes nothing; a version that never settled is not started again once it has ended."""
+    changes nothing; a version that ended before it settled is not started again by the same word."""
 
     def __init__(self, held: Held, rng: random.Random) -> None:
         self.held, self._rng = held, rng
--- a/elderlock/rollout/steps.py
+++ b/elderlock/rollout/steps.py
@@ -141,8 +141,8 @@
         if unit is None or unit.stage != "waiting":
             continue
         out = [each.target for each in plan.units if each.stage in ("out", "trial")]
-        why = may_go(voters, out, silent, target) or why
-        if may_go(voters, out, silent, target):
+        if refused := may_go(voters, out, silent, target):
+            why = refused
             continue
         new = above(new, generation)
         plan = with_unit(plan, msgspec.structs.replace(unit, stage="out", generation=new.generation))
--- a/elderlock/trial/ground.py
+++ b/elderlock/trial/ground.py
@@ -272,19 +272,19 @@
 
     def lay_version(self, name: str, flaw: str = "", **environ: str) -> None:
         """A version of limiters on every agent's disk: the program as it is, with that flaw."""
-        words = [f"{key}={value}" for key, value in ({children.FLAW: flaw} | environ if flaw else environ).items()]
-        command = ["env", *words, *python("-m", "elderlock.trial.child", "limiter", str(self.seam_path("{limiter}")))]
-        path = self.folder / "versions" / name / "version.toml"
-        path.parent.mkdir(parents=True)
-        path.write_text(f"command = {json.dumps(command)}\n")
+        self._lay_version(name, "command", "limiter", flaw, environ)
 
     def lay_agent_version(self, name: str, flaw: str = "", **environ: str) -> None:
-        """A version of agents on every agent's disk: the program as it is, with that flaw."""
-        words = [f"{key}={value}" for key, value in ({children.FLAW: flaw} | environ if flaw else environ).items()]
-        command = ["env", *words, *python("-m", "elderlock.trial.child", "agent", str(self.seam_path("{agent}")))]
+        """The same of agents."""
+        self._lay_version(name, "agent", "agent", flaw, environ)
+
+    def _lay_version(self, name: str, key: str, role: str, flaw: str, environ: Mapping[str, str]) -> None:
+        words = [f"{k}={value}" for k, value in ({children.FLAW: flaw, **environ} if flaw else environ).items()]
+        seam = str(self.seam_path("{" + role + "}"))
+        command = ["env", *words, *python("-m", "elderlock.trial.child", role, seam)]
         path = self.folder / "versions" / name / "version.toml"
         path.parent.mkdir(parents=True)
-        path.write_text(f"agent = {json.dumps(command)}\n")
+        path.write_text(f"{key} = {json.dumps(command)}\n")
 
     def floor_of(self, agent: int) -> str:
         return self._machine(agent)[1]
