Log why the limiter closes a client connection that is owed answers

Nothing told which of the paths that close a client connection drops what its client sent: the drain, the limit on idle connections, the limit on descriptors or the end of the process. Each now logs a warning with its reason, the unanswered commands and the unhandled bytes.

--- a/elderlock/net/client_connection.py
+++ b/elderlock/net/client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections import deque
 from dataclasses import replace
 from enum import Enum
@@ -32,6 +33,8 @@
 # The time that a command is queued on its connection is subtracted from its client's wait; a shorter time is ignored.
 MIN_COUNTED_WAIT_MS = 1.0
 
+log = logging.getLogger(__name__)
+
 
 class ConnectionState(Enum):
     """The state of a client connection."""
@@ -41,6 +44,16 @@
     HALF_CLOSED = "half closed"  # this side is shut down, and received bytes are discarded
 
 
+class CloseReason(Enum):
+    """Why the limiter shuts down its side of a client connection, as its log names it."""
+
+    ERROR = "errors of the client"
+    DRAIN = "drain"
+    IDLE_LIMIT = "limit on idle connections"
+    DESCRIPTOR_LIMIT = "limit on descriptors"
+    PROCESS_END = "end of the process"
+
+
 class ConnectionOwner(Protocol):
     """The interface that a connection uses of the listener that accepted it.
 
@@ -314,12 +327,14 @@
             return
         if is_open and (self._is_reading or self._reader.pending_bytes()):
             return  # commands already received, completely or in part, are answered before a drain closes
-        self.retire()
+        self.retire(CloseReason.DRAIN if is_open else CloseReason.ERROR)
 
-    def retire(self) -> None:
+    def retire(self, reason: CloseReason) -> None:
         """Shut down this side while no answer is pending; a client whose request crosses the shutdown retries it."""
         if self._transport is None or self._transport.is_closing() or self._state is ConnectionState.HALF_CLOSED:
             return
+        if reason is not CloseReason.ERROR:
+            self.log_unanswered(reason)
         # Only this side is closed, and further input is discarded: closing with unread input, or while a further
         # request arrives, would reset the connection and lose the last answer.
         self._state = ConnectionState.HALF_CLOSED
@@ -335,6 +350,17 @@
 
     # For the listener
 
+    def log_unanswered(self, reason: CloseReason) -> None:
+        """Log what the client has sent and would get no answer for if the connection closed now."""
+        unhandled_bytes = self._reader.pending_bytes()
+        if self._pending_answers or unhandled_bytes:
+            log.warning(
+                "client connection closes: %s, with %d unanswered commands and %d unhandled bytes",
+                reason.value,
+                len(self._pending_answers),
+                unhandled_bytes,
+            )
+
     def is_idle(self) -> bool:
         """Whether no answer is pending and all written answers have been sent."""
         return not self._pending_answers and self._state is ConnectionState.OPEN and self.is_flushed()
--- a/elderlock/net/client_listener.py
+++ b/elderlock/net/client_listener.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from elderlock.net.client_commands import CommandParser
-from elderlock.net.client_connection import ClientConnection
+from elderlock.net.client_connection import ClientConnection, CloseReason
 from elderlock.net.gateway import Gateway
 
 # Fraction of the process's descriptors for client connections; connections to servers have a separate fraction.
@@ -92,6 +92,7 @@
         if len(self) > self._max_connections:
             evicted = self._eviction_candidate(connection) or connection
             self.connection_closed(evicted)  # stop counting it now, so that the next connection evicts no other
+            evicted.log_unanswered(CloseReason.DESCRIPTOR_LIMIT)
             evicted.abort()
 
     def command_received(self, connection: ClientConnection) -> None:
@@ -147,7 +148,7 @@
             if connection.waiting_since_s > limit_s:
                 return
             if connection.is_idle():
-                connection.retire()
+                connection.retire(CloseReason.IDLE_LIMIT)
                 return
 
     # An operator's drain
@@ -209,6 +210,8 @@
         if not await self._wait_until_empty(ends_at_s - self.loop.time()):
             self.gateway.fail_open_requests()
             await self._wait_until_empty(FLUSH_TIMEOUT_S)
+            for connection in [*self._used, *self._unused]:
+                connection.log_unanswered(CloseReason.PROCESS_END)
 
     async def _wait_until_empty(self, timeout_s: float) -> bool:
         """Wait until no connection is left; return False on a timeout."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -19,7 +19,7 @@
 from programs import connect_when_ready, free_port, record_outcomes, start_program
 
 from elderlock.interface import Outcome
-from elderlock.net.client_connection import MAX_CONSECUTIVE_ERRORS, MAX_PENDING_ANSWERS, ClientConnection
+from elderlock.net.client_connection import MAX_CONSECUTIVE_ERRORS, MAX_PENDING_ANSWERS, ClientConnection, CloseReason
 from elderlock.net.config import parse_config
 from elderlock.net.shutdown import drain_time_limit_s
 from elderlock.spawning import spawn
@@ -216,7 +216,7 @@
         client = await limiter.client()
         assert await client.ask("before") == b"value"
         client.read("crossing")  # in the socket's buffer, and not read yet
-        connection_of(limiter).retire()
+        connection_of(limiter).retire(CloseReason.IDLE_LIMIT)
         assert await client.answer() is None  # the client retries elsewhere
         assert [command[2] for command in server.commands] == [b"before"]
 
