Answer what waits on a connection when the limiter shuts down, and forward none of it

Cause: at the drain's time limit the gateway failed the open requests once. Their answers made room on the connection, which then handled the commands that waited behind 64 pending answers; the gateway took and forwarded them, and the process ended 0.1 s later.

Change: Gateway.end_requests fails the open requests and rejects each further one with -BUSY, whoever brings it: it was never forwarded, and its client may repeat it. As the same cause on a related path, a drain doesn't close a connection over input that is still in its socket, as after a pause of reading (net/unread_input.py).

Tests (tests/test_shutdown_commands.py): on the code before, all four fail (the commands behind get no answer while the drain lasts, "WARNING ... end of the process, with 3 unanswered commands"); without the look into the socket the last one fails.

--- a/elderlock/net/client_connection.py
+++ b/elderlock/net/client_connection.py
@@ -13,6 +13,7 @@
 from elderlock.net.client_commands import ARGUMENT_COUNTS, CommandError, CommandParser
 from elderlock.net.gateway import Gateway
 from elderlock.net.resp import CommandReader, ProtocolError
+from elderlock.net.unread_input import UnreadInput
 
 PING_VERB = b"PING"
 PONG_ANSWER = b"+PONG\r\n"
@@ -325,10 +326,15 @@
         is_open = self._state is ConnectionState.OPEN
         if self._pending_answers or self._transport is None or (is_open and not self._listener.is_draining):
             return
-        if is_open and (self._is_reading or self._reader.pending_bytes()):
+        if is_open and (self._is_reading or self._reader.pending_bytes() or self._has_unread_input()):
             return  # commands already received, completely or in part, are answered before a drain closes
         self.retire(CloseReason.DRAIN if is_open else CloseReason.ERROR)
 
+    def _has_unread_input(self) -> bool:
+        """Whether the client has sent anything that is still in the socket, as after a pause of reading."""
+        transport = self._transport
+        return transport is not None and not transport.is_closing() and UnreadInput(transport).is_waiting()
+
     def retire(self, reason: CloseReason) -> None:
         """Shut down this side while no answer is pending; a client whose request crosses the shutdown retries it."""
         if self._transport is None or self._transport.is_closing() or self._state is ConnectionState.HALF_CLOSED:
--- a/elderlock/net/client_listener.py
+++ b/elderlock/net/client_listener.py
@@ -192,7 +192,7 @@
 
         Args:
             accept_for_s: How long connections are still accepted, as the load balancer keeps sending them for a while.
-            time_limit_s: After this time, open requests are failed and their answers are sent.
+            time_limit_s: After this time, open requests are failed and further ones are rejected, with an answer each.
         """
         # Closing the connection of a request that has already arrived would look to the client like a lost request.
         # So would closing an unused connection, as it was probably just opened for a request.
@@ -208,7 +208,7 @@
         for connection in [*self._used, *self._unused]:
             connection.close_if_done()  # including connections opened during the wait that were never used
         if not await self._wait_until_empty(ends_at_s - self.loop.time()):
-            self.gateway.fail_open_requests()
+            self.gateway.end_requests()
             await self._wait_until_empty(FLUSH_TIMEOUT_S)
             for connection in [*self._used, *self._unused]:
                 connection.log_unanswered(CloseReason.PROCESS_END)
--- a/elderlock/net/gateway.py
+++ b/elderlock/net/gateway.py
@@ -90,6 +90,7 @@
         self._limiter = limiter_type(config.settings, config.seed, self.now_ms(), coordinator_type)
         self._events: deque[api.Event] = deque()
         self._is_handling = False
+        self._is_ending = False
         self._observer: RequestObserver | None = None
         self.has_list = False
         self.list_received = asyncio.Event()
@@ -219,7 +220,8 @@
             return None
         now_ms = self.now_ms()
         # The client's wait may already have ended while the command was queued on its connection.
-        request = self.requests.add(command, reply, now_ms) if command.wait_ms > 0.0 else None
+        is_acceptable = command.wait_ms > 0.0 and not self._is_ending
+        request = self.requests.add(command, reply, now_ms) if is_acceptable else None
         if request is None:
             reply(BUSY_ANSWER)
             return None
@@ -253,8 +255,12 @@
             self._finish(request, None)
             self._submit(api.ClientDisconnected(request_id))
 
-    def fail_open_requests(self) -> None:
-        """Fail all open requests because the process is shutting down."""
+    def end_requests(self) -> None:
+        """Fail all open requests, and from now on reject each further one, because the process is about to end.
+
+        The answers make room for commands that wait on their connections: forwarded, they would get no answer.
+        """
+        self._is_ending = True
         for request in self.requests.unanswered():
             self._deadline_passed(request)
 
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -71,6 +71,7 @@
     "elderlock.net.shutdown",
     "elderlock.net.signals",
     "elderlock.net.startup",
+    "elderlock.net.unread_input",
 }
 LIBRARIES = {"h11", "uvloop"}
 
--- /dev/null
+++ b/tests/test_shutdown_commands.py
@@ -0,0 +1,87 @@
+"""Commands that wait on their connection while the limiter shuts down: each of them is answered, none is forwarded.
+
+`docs/incidents/2026-12-04-shutdown-over-waiting-commands.md` describes the fault.
+"""
+
+import asyncio
+
+import hiredis
+import pytest
+from pending_commands import answer_texts, expect_answers, send_up_to_pending_limit, unacknowledged_bytes
+from test_endings import connection_of
+
+from elderlock.net import client_connection, client_listener
+from elderlock.standins.clients import Client
+from elderlock.standins.local_limiter import Limiter
+from elderlock.standins.servers import Server, answers
+from elderlock.standins.settings import CUSTOMER, terms
+from elderlock.standins.waiting import run, until
+
+LONG_TIME_S = 10000.0
+
+
+def send_write(client: Client, name: str, request_class: str) -> None:
+    client.send("API.WRITE", CUSTOMER, name, terms(c=request_class), "body")
+
+
+@pytest.mark.parametrize("request_class", ["lookup", "pay"])
+def test_commands_behind_a_hanging_server_are_rejected_at_the_end_of_a_drain(request_class: str) -> None:
+    """Guards against: requests taken before SIGTERM are forwarded after all others have failed, and get no answer."""
+
+    async def test() -> None:
+        server = await Server(answers(None)).start()
+        limiter = await Limiter.start(server)
+        client = await limiter.client()
+        send_up_to_pending_limit(client)
+        for number in range(3):
+            send_write(client, f"behind-{number}", request_class)
+        await until(lambda: len(server.commands) == 1 and connection_of(limiter)._reader.pending_bytes() > 0)
+        await limiter.clients.drain(accept_for_s=0.0, time_limit_s=0.0)
+        await expect_answers(client, "ERR failed")
+        assert await answer_texts(client, 4) == ["BUSY"] * 3 + [None]
+        assert [command[2] for command in server.commands] == [b"first"]
+
+    run(test())
+
+
+def test_command_completed_after_open_requests_have_failed_is_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against: a request whose last byte comes in the flush time is forwarded, and the process then ends."""
+    monkeypatch.setattr(client_listener, "FLUSH_TIMEOUT_S", LONG_TIME_S)
+
+    async def test() -> None:
+        server = await Server(answers(None)).start()
+        limiter = await Limiter.start(server)
+        client = await limiter.client()
+        client.read("first")
+        command: bytes = hiredis.pack_command(("API.READ", CUSTOMER, "partial", terms()))  # type: ignore[arg-type]
+        client.writer.write(command[:40])
+        await until(lambda: len(server.commands) == 1)
+        drain = asyncio.ensure_future(limiter.clients.drain(accept_for_s=0.0, time_limit_s=0.0))
+        assert await answer_texts(client, 1) == ["ERR failed"]
+        client.writer.write(command[40:])
+        assert await answer_texts(client, 2) == ["BUSY", None]
+        await drain
+        assert [command[2] for command in server.commands] == [b"first"]
+
+    run(test())
+
+
+def test_command_in_the_socket_is_rejected_at_the_end_of_a_drain(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against: a connection that is not read, as much waits on it, closes over what its machine has had."""
+    monkeypatch.setattr(client_connection, "MAX_UNREAD_BYTES", 1)  # reading pauses with one waiting command
+
+    async def test() -> None:
+        server = await Server(answers(None)).start()
+        limiter = await Limiter.start(server)
+        client = await limiter.client()
+        send_up_to_pending_limit(client)
+        send_write(client, "in-the-reader", "pay")
+        await until(lambda: len(server.commands) == 1 and connection_of(limiter)._is_read_paused)
+        send_write(client, "in-the-socket", "pay")
+        await until(lambda: unacknowledged_bytes(client) == 0)
+        await limiter.clients.drain(accept_for_s=0.0, time_limit_s=0.0)
+        await expect_answers(client, "ERR failed")
+        assert await answer_texts(client, 3) == ["BUSY", "BUSY", None]
+        assert [command[2] for command in server.commands] == [b"first"]
+
+    run(test())
