Treat a client connection as idle only between requests

Cause: ClientConnection.is_idle looked at pending answers and unsent bytes, not at commands that wait in the reader for the next step of the loop, when the 64 answers that may be pending have gone out. Another client's command in between closed the connection as the longest idle one and dropped its reader.

Change: a connection is idle if nothing is being handled, all is answered and sent, and no byte of a further command is in its reader or in its socket. The check for incomplete commands passes over a connection whose complete commands wait to be handled.

--- a/elderlock/net/client_connection.py
+++ b/elderlock/net/client_connection.py
@@ -121,6 +121,7 @@
         self._pending_answers: deque[PendingAnswer] = deque()
         self._state = ConnectionState.OPEN
         self._is_reading = False
+        self._is_read_scheduled = False
         self._is_read_paused = False
         self._is_write_blocked = False
         self._consecutive_errors = 0
@@ -197,6 +198,7 @@
 
     def _read_commands(self) -> None:
         """Handle complete commands while few enough answers are pending; the others stay in the reader."""
+        self._is_read_scheduled = False
         self._is_reading = True
         try:
             while self._state is ConnectionState.OPEN and not self._has_too_many_pending():
@@ -270,7 +272,8 @@
         """Handle commands that wait in the reader, in the loop's next step: this may run while one is being handled."""
         if self._is_reading or self._state is not ConnectionState.OPEN or self._has_too_many_pending():
             return
-        if self._reader.pending_bytes():
+        if self._reader.pending_bytes() and not self._is_read_scheduled:
+            self._is_read_scheduled = True
             self._listener.loop.call_soon(self._read_commands)
 
     # Answers
@@ -367,9 +370,14 @@
                 unhandled_bytes,
             )
 
+    def is_answered(self) -> bool:
+        """Whether no command is being handled, none waits for its answer, and all answers have been sent."""
+        is_handling = self._is_reading or bool(self._pending_answers)
+        return not is_handling and self._state is ConnectionState.OPEN and self.is_flushed()
+
     def is_idle(self) -> bool:
-        """Whether no answer is pending and all written answers have been sent."""
-        return not self._pending_answers and self._state is ConnectionState.OPEN and self.is_flushed()
+        """Whether it is between requests: all are answered, and no part of a further one has arrived, read or not."""
+        return self.is_answered() and not self._reader.pending_bytes() and not self._has_unread_input()
 
     def is_flushed(self) -> bool:
         """Whether all written answers have been sent; an abort would lose the others."""
@@ -390,4 +398,6 @@
 
     def _waits_for_command(self) -> bool:
         """Whether the connection waits for its first command or for the rest of a command."""
+        if self._is_read_scheduled:
+            return False  # complete commands wait in the reader
         return not self.has_sent_command or bool(self._reader.pending_bytes())
--- a/elderlock/net/client_listener.py
+++ b/elderlock/net/client_listener.py
@@ -128,10 +128,11 @@
             if connection.is_flushed():
                 return connection
         for connection in self._unused:
-            if connection is not newest and connection.is_idle():
+            if connection is not newest and connection.is_answered():
                 return connection
         # Even a recently used connection qualifies: if a request crosses the close, its client retries on a new
-        # connection, while a rejected connection nearly always carries a request, which would fail.
+        # connection, while a rejected connection nearly always carries a request, which would fail. A connection that
+        # has sent no command yet may hold part of one: its request is not taken before the last byte.
         for connection in self._used:
             if connection.is_idle():
                 return connection
