--- a/elderlock/sim/virtual/network.py
+++ b/elderlock/sim/virtual/network.py
@@ -20,6 +20,7 @@
 
 from elderlock.sim.models.link_conditions import LinkConditions
 from elderlock.sim.virtual.loop import TIE_BREAK_S, SimLoop
+from elderlock.sim.virtual.polling import assign_descriptor
 from elderlock.sim.virtual.processes import CURRENT_PROCESS, Machine, Process
 
 KERNEL_BUFFER_BYTES = 1 << 18  # bytes in one direction that both kernels hold before `write` buffers in the process
@@ -76,7 +77,7 @@
             self._stream.resets_on_close = value[:4] != b"\0\0\0\0"
 
     def fileno(self) -> int:
-        return -1
+        return self._stream.descriptor if isinstance(self._stream, Stream) else -1
 
 
 class Listener:
@@ -150,6 +151,7 @@
         peer: The other end.
         resets_on_close: Whether a close resets the connection, as SO_LINGER with time 0 does.
         is_connected: Whether the protocol's `connection_made` was called.
+        descriptor: The number by which a simulated poll finds this end.
         tap: An observer of this end.
     """
 
@@ -169,6 +171,7 @@
         self._in_flight_bytes = 0  # written and not read by the peer yet
         self._last_arrival = 0.0
         self._blocked: deque[tuple[str, bytes]] = deque()  # waits for the end of a cut
+        self.descriptor: int = assign_descriptor(self)
         self.tap: Tap | None = None
         self._close_when_drained = False
         if self.process is not None:
@@ -203,6 +206,10 @@
         """Returns whether data is notify_transfer to the protocol."""
         return not self._reading_paused and not self._closing
 
+    def has_unread_input(self) -> bool:
+        """Returns whether the kernel holds bytes, or the end of the stream, that the protocol was not given."""
+        return bool(self._received) or self._eof_received
+
     def pause_reading(self) -> None:
         """Stops passing data to the protocol."""
         self._reading_paused = True
--- a/elderlock/sim/virtual/system.py
+++ b/elderlock/sim/virtual/system.py
@@ -12,11 +12,13 @@
 import os
 import random
 import secrets
+import select
 import time
 from collections.abc import Iterator, Mapping
 from typing import Any
 
 from elderlock.sim.virtual.loop import START_MONOTONIC_S, START_UNIX_S, SimLoop
+from elderlock.sim.virtual.polling import SimulatedPoller
 from elderlock.sim.virtual.processes import CURRENT_PROCESS
 
 
@@ -80,7 +82,7 @@
 
 @contextlib.contextmanager
 def simulated_system(loop: SimLoop, seed: int) -> Iterator[Clocks]:
-    """Replaces the sources of time and randomness of this Python process with simulated ones inside the context."""
+    """Replaces this Python process's time, randomness and poll with simulated ones inside the context."""
     clocks, rng = Clocks(loop), random.Random(f"system/{seed}")
     real_random, real_state = random.Random, random.getstate()
 
@@ -115,6 +117,7 @@
         (time, "sleep", _reject_sleep),
         (random, "Random", SeededRandom),
         (random, "SystemRandom", SeededSystemRandom),
+        (select, "poll", SimulatedPoller),
         (os, "urandom", urandom),
         (os, "getpid", current_pid),
         (random, "_urandom", urandom),
