Give a server connection its next request only if nothing lies unread in its socket

Cause: a connection was reused once it had been idle for 20 ms by the clock, which also runs while the process is held up or busy. A second copy of the last answer, some milliseconds late, then lay unread in its socket and was read as the next request's answer.

Change: take_idle polls the socket, without reading; a connection with unread input is closed. A copy within 20 ms of its answer has been read or is in the socket by then. The same for a server's close that was not read: such a request ended as reset.

--- a/elderlock/net/server_connection.py
+++ b/elderlock/net/server_connection.py
@@ -9,6 +9,7 @@
 
 from elderlock.interface import Outcome
 from elderlock.net.resp import AnswerReader, ProtocolError
+from elderlock.net.unread_input import UnreadInput
 
 AttemptEndedCallback = Callable[["Attempt", Outcome, bytes | None], None]
 
@@ -140,7 +141,17 @@
         idle_since_ms: When its last attempt ended.
     """
 
-    __slots__ = ("_context", "_reader", "_stall_timer", "_transport", "attempt", "idle_since_ms", "pool", "state")
+    __slots__ = (
+        "_context",
+        "_reader",
+        "_stall_timer",
+        "_transport",
+        "_unread_input",
+        "attempt",
+        "idle_since_ms",
+        "pool",
+        "state",
+    )
 
     def __init__(self, context: ConnectionContext, pool: OwningPool) -> None:
         self._context = context
@@ -151,15 +162,21 @@
         self._reader = AnswerReader()
         self._stall_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
+        self._unread_input: UnreadInput | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport; the pool takes the connection over when the task that connects continues."""
         self._transport = cast(asyncio.Transport, transport)  # uvloop's transports do not derive from asyncio's
+        self._unread_input = UnreadInput(transport)
 
     def is_usable(self) -> bool:
         """Whether a command can be written."""
         return self._transport is not None and not self._transport.is_closing()
 
+    def has_unread_input(self) -> bool:
+        """Whether a usable connection's socket holds input, such as a copy of its last answer or the server's close."""
+        return self._unread_input is not None and self._unread_input.is_waiting()
+
     def send(self, attempt: Attempt, now_ms: float) -> None:
         """Write the attempt's command."""
         assert self._transport is not None
--- a/elderlock/net/server_pool.py
+++ b/elderlock/net/server_pool.py
@@ -20,7 +20,7 @@
 MAX_PER_SERVER_FRACTION = 0.5
 # Fraction of the servers' keepalive timeout: a request written after the timeout ends as a reset.
 IDLE_KEEPALIVE_FRACTION = 0.8
-# Delay before a connection is reused; a duplicate that directly follows an answer is detected meanwhile.
+# Delay before a connection is reused; a duplicate that directly follows an answer arrives meanwhile.
 REUSE_DELAY_MS = 20.0
 # Fraction of the latency objective: how long a request waits for a new connection before it is sent elsewhere.
 CONNECT_OBJECTIVE_FRACTION = 0.15
@@ -82,8 +82,9 @@
     def take_idle(self) -> ServerConnection | None:
         """Take the most recently used connection that can be reused; return None if there is none.
 
-        It must have been idle long enough to detect bytes that follow its last answer: a duplicate that arrives while
-        it carries the next request would be taken for the answer to that request.
+        It must have been idle long enough for bytes that follow its last answer to arrive, and none may have arrived: a
+        duplicate would be taken for the answer to the next request. Bytes that arrived may not have been read, if the
+        process was held up or busy.
         """
         now_ms = self._pools.now_ms()
         for index in range(len(self.idle) - 1, -1, -1):
@@ -93,7 +94,8 @@
                 continue
             del self.idle[index]
             del self._pools.idle_connections[connection]
-            if connection.is_usable() and idle_ms < self._pools.idle_limit_ms:
+            has_expired = idle_ms >= self._pools.idle_limit_ms
+            if not has_expired and connection.is_usable() and not connection.has_unread_input():
                 return connection
             connection.abort()
         return None
--- a/tests/pending_commands.py
+++ b/tests/pending_commands.py
@@ -10,7 +10,7 @@
 
 from elderlock.net.client_connection import MAX_PENDING_ANSWERS
 from elderlock.standins.clients import Client
-from elderlock.standins.servers import served
+from elderlock.standins.servers import MISSING, served
 
 
 def send_up_to_pending_limit(client: Client) -> None:
@@ -66,3 +66,30 @@
         """Send an answer on the last connection."""
         assert self._connection is not None
         self._connection.send(served(value))
+
+    def close_connection(self) -> None:
+        """Close the last connection."""
+        assert self._connection is not None
+        self._connection.close()
+
+
+class UnbufferedClient:
+    """A client whose commands are in the limiter's socket once `send` returns."""
+
+    def __init__(self, port: int) -> None:
+        self._socket = socket.create_connection(("127.0.0.1", port))
+        self._socket.setblocking(False)
+        self._parser = hiredis.Reader(notEnoughData=MISSING)
+
+    def send(self, *parts: str) -> None:
+        """Send one command."""
+        self._socket.send(hiredis.pack_command(parts))  # type: ignore[arg-type]
+
+    async def answer(self) -> bytes | hiredis.ReplyError | None:
+        """Wait for the next answer and return it, or None if the connection has ended."""
+        while (answer := self._parser.gets()) is MISSING:
+            data = await asyncio.get_running_loop().sock_recv(self._socket, 1 << 16)
+            if not data:
+                return None
+            self._parser.feed(data)
+        return answer  # type: ignore[no-any-return]
