Ignore a whole list that is older than another call's, and follow versions that start anew

A whole list is now outdated if another call has brought a later version since its call started; - after a restart of discovery with lower versions, changes up to the old version were ignored. A watch brings only changes later than the version it asked from, so an earlier one means that discovery counts anew: the whole list is fetched again, once. A whole list below the version that was known when its call started is applied, as before.

--- a/elderlock/net/discovery.py
+++ b/elderlock/net/discovery.py
@@ -85,11 +85,13 @@
 
     Attributes:
         last_received_s: Loop time at which the last bytes arrived, or the call started.
+        known_version: The version that had been applied when the call started; None if there was none.
         task: Runs the call.
     """
 
-    def __init__(self, follower: ListFollower, now_s: float) -> None:
+    def __init__(self, follower: ListFollower, now_s: float, known_version: int | None) -> None:
         self.last_received_s = now_s
+        self.known_version = known_version
         self.task = asyncio.get_running_loop().create_task(follower.run_call(self))
 
 
@@ -120,6 +122,7 @@
         self._on_list = on_list
         self._silence_limit_s = silence_limit_s
         self._version: int | None = None  # valid for this address only: another agent may number versions differently
+        self._version_call: DiscoveryCall | None = None  # the call that brought it
         self._loop = asyncio.get_running_loop()
         self._calls: list[DiscoveryCall] = []  # the oldest first
         self._active_call: DiscoveryCall | None = None
@@ -148,7 +151,7 @@
                     self._cancel_calls(self._inactive_calls())
                     await asyncio.wait({self._active_call.task}, timeout=remaining_s)
                     continue
-            call = DiscoveryCall(self, self._loop.time())
+            call = DiscoveryCall(self, self._loop.time(), self._version)
             self._calls.append(call)
             if len(self._calls) > MAX_CONCURRENT_CALLS:
                 self._cancel_calls(self._inactive_calls()[:1])
@@ -183,7 +186,7 @@
                 body += part
                 if len(body) > MAX_LIST_BYTES:
                     raise DiscoveryError("the list is too long")
-        self._apply_list(bytes(body))
+        self._apply_list(call, bytes(body))
         self._record_answer(call)
 
     async def _watch(self, call: DiscoveryCall) -> None:
@@ -192,7 +195,7 @@
             async for part in parts:
                 self._record_answer(call)
                 for text in splitter.feed(part):
-                    self._apply_list(text)
+                    self._apply_list(call, text)
 
     async def _get(self, target: str) -> AsyncGenerator[bytes, None]:
         """Yield an empty part once the response has begun, then the parts of its body as they arrive."""
@@ -217,18 +220,36 @@
         finally:
             writer.transport.abort()
 
-    def _apply_list(self, text: bytes) -> None:
+    def _apply_list(self, call: DiscoveryCall, text: bytes) -> None:
         try:
             listed = parse_endpoint_list(json.loads(text), self._settings)
         except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as error:
             # Later changes build on the unreadable one, so the complete list has to be fetched again.
             self._version = None
             raise DiscoveryError(f"a line cannot be read: {error!r}") from None
-        if not listed.is_complete and self._version is not None and listed.version <= self._version:
+        if listed.is_complete:
+            if self._is_outdated(call, listed.version):
+                return
+        elif self._version is not None and listed.version <= self._version:
+            if call.known_version is not None and listed.version < call.known_version:
+                # A watch brings only later changes, so discovery has restarted and counts versions anew.
+                self._version = None
+                raise DiscoveryError(f"version {listed.version} after {call.known_version}: the versions start anew")
             return  # from a call that was answered late: another call has already applied these and later changes
         self._version = listed.version
+        self._version_call = call
         self._on_list(self, listed)
 
+    def _is_outdated(self, call: DiscoveryCall, version: int) -> bool:
+        """Whether a complete list is older than what another call has brought since this one started.
+
+        A version below the one that was known when the call started is not older: discovery has restarted, and counts
+        versions anew.
+        """
+        if self._version is None or version >= self._version or call is self._version_call:
+            return False
+        return call.known_version is None or version >= call.known_version
+
 
 class Discovery:
     """Follows the server list at the configured address, which a reload may change.
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,6 +1,7 @@
 """Following discovery's server list: lists, watches, address changes and silent connections."""
 
 import json
+from typing import Any
 
 import pytest
 
@@ -136,6 +137,61 @@
     run(test())
 
 
+def list_line(version: int, *targets: dict[str, Any], complete: bool) -> bytes:
+    return json.dumps({"rev": version, "all": complete, "targets": list(targets)}).encode() + b"\n"
+
+
+def test_older_complete_list_that_is_answered_last_does_not_undo_a_drain() -> None:
+    """Guards against: of two open calls the older one is answered last, and a draining server is sent work again."""
+
+    async def test() -> None:
+        agent, follower, received = await follow_agent()
+        agent.ignores_requests = True  # the watch is silent: calls are opened side by side, and are not answered
+        await until(lambda: len(agent.requested_paths) == 3)
+        agent.ignores_requests = False
+        await until(lambda: len(agent.watches) == 2)
+        agent.send_line(list_line(9, target("a", "127.0.0.1:1", "draining"), complete=True))
+        agent.watches.pop()
+        agent.send_line(list_line(8, target("a", "127.0.0.1:1"), complete=True))  # on the first watch, in the same step
+        await until(lambda: len(received) > 1)
+        await until(lambda: agent.lost == len(agent.requested_paths) - 1)  # all other calls are cancelled
+        assert received == [7, 9]
+        follower.stop()
+
+    run(test())
+
+
+def test_versions_that_start_anew_after_a_restart_of_discovery_are_applied() -> None:
+    """Guards against: changes of a restarted discovery are ignored up to its old version, drains among them."""
+
+    async def test() -> None:
+        agent, follower, received = await follow_agent()
+        agent.complete_list = {"rev": 2, "all": True, "targets": []}
+        agent.watches[-1].transport.abort()
+        await until(lambda: len(agent.watches) == 2)
+        agent.send_line(list_line(3, target("a", "127.0.0.1:1", "draining"), complete=False))
+        await until(lambda: len(agent.watches) == 3)  # the complete list has been fetched again
+        assert received == [7, 2]
+        assert agent.requested_paths[-1].endswith("watch=1&after=2")
+        agent.send_line(list_line(3, target("a", "127.0.0.1:1", "draining"), complete=False))
+        await until(lambda: received == [7, 2, 3])
+        follower.stop()
+
+    run(test())
+
+
+def test_complete_list_of_a_restarted_discovery_is_applied() -> None:
+    async def test() -> None:
+        agent, follower, received = await follow_agent()
+        agent.watches[-1].transport.abort()
+        await until(lambda: len(agent.watches) == 2)
+        agent.send_line(list_line(2, target("a", "127.0.0.1:1"), complete=True))
+        await until(lambda: received == [7, 2])
+        follower.stop()
+
+    run(test())
+
+
 @pytest.mark.parametrize("chunk_size", [1, 7, 1 << 16])
 def test_lists_of_a_watch_may_be_indented(chunk_size: int) -> None:
     changes = [
