Keep a quota query pending when an answer that is not its own arrives

QuotaClient.handle_answer dropped the pending query of an answer's id before it checked who had sent the answer and about which customer. The request was then decided by nothing but its gateway's deadline. The query now stays until its owner answers about its customer, or its timeout. Query ids of a process start at its start time in ms: an answer that is late across a restart carries an id that the new process doesn't wait for, as a message budget allows fewer queries than one a ms.

Tests: three in tests/decisions/test_quota_client.py, which all fail on the code before.

--- a/elderlock/decisions/quota_client.py
+++ b/elderlock/decisions/quota_client.py
@@ -74,7 +74,8 @@
         self._reports = reports
         self._requests = requests
         self._decide = decide
-        self._last_query_id = 0
+        # An answer may arrive after a restart: the ids of a process start where no earlier one is still waited for.
+        self._last_query_id = int(context.started_at_ms) % QUERY_ID_COUNT
         self.pending_queries: dict[int, PendingQuery] = {}
 
     def may_query(self, account: Account) -> bool:
@@ -93,12 +94,15 @@
 
     def handle_answer(self, sender: int, answer: QuotaAnswer) -> None:
         """Decide the request of an answer; an answer without a pending query or from another limiter is ignored."""
-        query = self.pending_queries.pop(answer.query_id, None)
-        if query is None:
+        query = self.pending_queries.get(answer.query_id)
+        if query is None or query.owner != sender:
             return
-        query.timer.is_live = False
         request = self._requests.get(query.request_id)
-        if request is None or query.owner != sender or request.account.key != answer.key:
+        if request is not None and request.account.key != answer.key:
+            return
+        del self.pending_queries[answer.query_id]
+        query.timer.is_live = False
+        if request is None:
             return
         plan = request.account.plan
         level_units = peer_messages.decode_level(answer.level, plan.burst_units)
--- a/tests/decisions/test_quota_client.py
+++ b/tests/decisions/test_quota_client.py
@@ -7,6 +7,7 @@
 from quota_messages import harness_with_pending_query, sent_singles, single
 
 from elderlock import interface as api
+from elderlock.decisions.limiter import Limiter
 from elderlock.peer_messages import SingleKind
 
 
@@ -28,6 +29,34 @@
     assert not harness.attempted_servers(request_id) and request_id not in harness.final_answers
 
 
+def test_a_request_is_still_decided_after_an_answer_of_another_limiter() -> None:
+    """Guards against: such an answer drops the pending query, and no answer or timeout decides the request any more."""
+    harness, request_id, owner, query = harness_with_pending_query()
+    stray = api.PeerMessage(3 - owner, single(query.key, SingleKind.GRANTED, query_id=query.query_id))
+    harness.handle(stray)
+    harness.run_until(150.0)
+    assert len(sent_singles(harness)) == 2  # the query was repeated at its timeout
+    harness.handle(stray)
+    harness.run_until(250.0)
+    assert harness.attempted_servers(request_id)
+
+
+def test_an_answer_about_another_customer_leaves_the_query_pending() -> None:
+    """Guards against: the same, with an answer of the right limiter to an earlier process's query of this id."""
+    harness, request_id, owner, query = harness_with_pending_query()
+    harness.handle(api.PeerMessage(owner, single(query.key + 1, SingleKind.DENIED, query_id=query.query_id)))
+    assert request_id not in harness.final_answers
+    harness.handle(api.PeerMessage(owner, single(query.key, SingleKind.GRANTED, first=0, query_id=query.query_id)))
+    assert harness.attempted_servers(request_id)
+
+
+def test_a_restarted_limiter_uses_other_query_ids() -> None:
+    """Guards against: an answer that is late across a restart is taken for the answer to the new process's query."""
+    settings = limiter_settings(limiter_count=3, can_message_peers=True)
+    clients = [Limiter(settings, 0, started_at_ms).quota_coordinator.quota_client for started_at_ms in (0.0, 1500.0)]
+    assert clients[1]._last_query_id - clients[0]._last_query_id >= 1000  # more queries than the message budget allows
+
+
 def test_a_silent_owner_is_queried_twice_then_skipped_and_the_bucket_decides() -> None:
     harness, request_id, owner, query = harness_with_pending_query()
     harness.run_until(150.0)
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -25,17 +25,17 @@
 EVENTS = 8_000
 RECORDED_DIGESTS = {
     0: "e15b88549abba86bd04cddb7",
-    1: "cd743f64e4e81b830eae90a3",
-    2: "c5e2adc722819bb18738c178",
-    3: "2ca13ab5a9bb638d1356ae70",
+    1: "049c31220f86b6c471edd700",
+    2: "2f750adb4d4a61ec8e234f85",
+    3: "f8dc48f8a07e805c1a408953",
     4: "845ce946cf095b48cd1d2143",
-    5: "c14e71ff6d9c68306892fd31",
-    6: "2426e21fab9b6c18eb662dc3",
-    7: "3b80a0c38470e0a1dc4e0e8a",
+    5: "fc0e5d718ddf38bd19af54ef",
+    6: "f161988cf7a5bf7fbda1d5b8",
+    7: "f7b33e666c15e7597c07cba5",
     8: "d7538a097cb66a596a7d9ac6",
-    9: "2be3bcd9c1d2d5c4d20ef641",
-    10: "454c2156859c8b2f0675f396",
-    11: "d6e9b108b6cf520d2a5d89fe",
+    9: "01b96bd8dcbf752dd1f56297",
+    10: "c56c4484d0052237dfa9073c",
+    11: "c39cd5586a771bbcef4a2ad7",
 }
 
 
