Read on while much waits on a client connection, so that its end is seen

With 64 answers pending and 128 KiB of commands unhandled a connection wasn't read, and so its end wasn't seen behind what its client had sent.

Change: reading goes on; beyond 128 KiB a connection's waiting bytes count against a sixteenth of the process's memory, for all connections together (net/excess_input.py), and reading pauses only when that is used.

Test: with the shared memory set to none, as before, test_disconnect_is_detected_behind_more_bytes_than_a_connection_may_hold fails: "Outcome.TIMEOUT != Outcome.CANCELLED, 4 more items", four further attempts for a client that had gone.

--- a/elderlock/net/client_connection.py
+++ b/elderlock/net/client_connection.py
@@ -11,6 +11,7 @@
 from typing import Protocol, cast
 
 from elderlock.net.client_commands import ARGUMENT_COUNTS, CommandError, CommandParser
+from elderlock.net.excess_input import ExcessInput
 from elderlock.net.gateway import Gateway
 from elderlock.net.resp import CommandReader, ProtocolError
 from elderlock.net.unread_input import UnreadInput
@@ -21,7 +22,8 @@
 CORDONED_ANSWER = b"-LOADING drained by an operator\r\n"
 # With this many pending answers on a connection, no further command from it is handled.
 MAX_PENDING_ANSWERS = 64
-# With this many bytes of unhandled commands, reading from a connection pauses. Two commands of the maximum size fit.
+# Bytes of unhandled commands that each connection may hold; further ones count against the limit of all connections.
+# Two commands of the maximum size fit.
 MAX_UNREAD_BYTES = 1 << 17
 # Arrival times recorded for unhandled bytes. At the limit, new bytes get the last recorded arrival time.
 MAX_ARRIVAL_TIMES = 64
@@ -63,6 +65,7 @@
         gateway: Handles the requests.
         parser: Parses the requests.
         receive_buffer: Shared by all connections; the bytes are copied out before the next read.
+        excess_input: Limits the unhandled bytes beyond `MAX_UNREAD_BYTES` over all connections.
         is_draining: Whether a connection closes once it has no answer pending.
         is_cordoned: Whether an operator drained this limiter.
     """
@@ -71,6 +74,7 @@
     gateway: Gateway
     parser: CommandParser
     receive_buffer: memoryview
+    excess_input: ExcessInput
     is_draining: bool
     is_cordoned: bool
 
@@ -127,6 +131,7 @@
         self._consecutive_errors = 0
         self._discarded_bytes = 0
         self._fed_bytes = 0
+        self._excess_bytes = 0
         # For unhandled bytes: the total number of bytes fed including them, and the loop time (s) of their arrival.
         self._arrival_times: deque[tuple[int, float]] = deque()
         self._linger_timer: asyncio.TimerHandle | None = None
@@ -146,6 +151,7 @@
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         self._abandon_pending()
+        self._count_excess_bytes(0)
 
     def eof_received(self) -> None:
         """Treat the client as disconnected, as a half-close cannot be distinguished from a close.
@@ -256,10 +262,16 @@
     def _update_reading(self) -> None:
         """Pause or resume the transport's reading.
 
-        Commands are still read into the buffer up to `MAX_UNREAD_BYTES`, because the end of a connection is only
-        detected while it is being read.
+        While too many answers are pending, commands are still read into the buffer, because the end of a connection is
+        only detected while it is being read.
         """
-        pause = self._has_too_many_pending() and self._reader.pending_bytes() >= MAX_UNREAD_BYTES
+        has_too_many_pending = self._has_too_many_pending()
+        if not has_too_many_pending and not self._excess_bytes and not self._is_read_paused:
+            return
+        waiting_bytes = self._reader.pending_bytes()
+        self._count_excess_bytes(max(0, waiting_bytes - MAX_UNREAD_BYTES))
+        may_exceed = not self._listener.excess_input.is_full()
+        pause = has_too_many_pending and waiting_bytes >= MAX_UNREAD_BYTES and not may_exceed
         if self._transport is None or self._transport.is_closing() or pause == self._is_read_paused:
             return
         self._is_read_paused = pause
@@ -268,6 +280,10 @@
         else:
             self._transport.resume_reading()
 
+    def _count_excess_bytes(self, excess_bytes: int) -> None:
+        self._listener.excess_input.resize(self._excess_bytes, excess_bytes)
+        self._excess_bytes = excess_bytes
+
     def _schedule_read(self) -> None:
         """Handle commands that wait in the reader, in the loop's next step: this may run while one is being handled."""
         if self._is_reading or self._state is not ConnectionState.OPEN or self._has_too_many_pending():
--- a/elderlock/net/client_listener.py
+++ b/elderlock/net/client_listener.py
@@ -7,7 +7,9 @@
 
 from elderlock.net.client_commands import CommandParser
 from elderlock.net.client_connection import ClientConnection, CloseReason
+from elderlock.net.excess_input import ExcessInput
 from elderlock.net.gateway import Gateway
+from elderlock.net.open_requests import BYTES_PER_MB
 
 # Fraction of the process's descriptors for client connections; connections to servers have a separate fraction.
 CLIENT_DESCRIPTOR_FRACTION = 0.45
@@ -15,6 +17,8 @@
 # closed. Clients may hold up to a third for requests: without a limit on idle connections, others could not connect.
 IDLE_DESCRIPTOR_FRACTION = 1 / 6
 RECEIVE_BUFFER_BYTES = 1 << 14
+# Fraction of the process's memory for commands that wait beyond the share of each connection.
+EXCESS_INPUT_MEMORY_FRACTION = 1 / 16
 BACKLOG = 1024
 # How long a connection may wait for a complete command, or for its client to read an answer.
 SILENCE_LIMIT_S = 2.0
@@ -35,6 +39,7 @@
         gateway: Handles the clients' requests.
         parser: Parses the requests; shared by all connections.
         receive_buffer: Shared by all connections.
+        excess_input: Limits the commands that wait on connections.
         is_draining: Whether each connection closes once it has no answer pending.
         is_cordoned: Whether an operator drained this limiter; `uncordon` undoes it.
         on_cordon: Called with `is_cordoned` when it changes, to drain another frontend together with this one.
@@ -52,6 +57,7 @@
         self.gateway = gateway
         self.parser = CommandParser(gateway.settings, gateway.max_request_units)
         self.receive_buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
+        self.excess_input = ExcessInput(int(gateway.memory_mb * BYTES_PER_MB * EXCESS_INPUT_MEMORY_FRACTION))
         self.is_draining = False
         self.is_cordoned = False
         self.on_cordon: Callable[[bool], None] | None = None
--- a/elderlock/net/gateway.py
+++ b/elderlock/net/gateway.py
@@ -44,6 +44,7 @@
         now_ms: Returns the current time.
         settings: The limiter's settings.
         max_request_units: Maximum number of units that one request may cost.
+        memory_mb: Maximum memory of the whole process in MB.
         server_pools: The connections to the servers.
         requests: The accepted requests that have not finished.
         has_list: Whether any list has named a server so far.
@@ -74,6 +75,7 @@
         self.now_ms = clock.now_ms
         self.settings = config.settings
         self.max_request_units = config.socket_settings.largest_request_units
+        self.memory_mb = config.memory_mb
         self.server_pools = ServerPools(
             loop,
             config.socket_settings,
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -61,6 +61,7 @@
     "elderlock.net.discovery",
     "elderlock.net.endpoint_list",
     "elderlock.net.errors",
+    "elderlock.net.excess_input",
     "elderlock.net.gateway",
     "elderlock.net.open_requests",
     "elderlock.net.peers",
--- a/tests/test_shutdown_commands.py
+++ b/tests/test_shutdown_commands.py
@@ -11,6 +11,7 @@
 from test_endings import connection_of
 
 from elderlock.net import client_connection, client_listener
+from elderlock.net.excess_input import ExcessInput
 from elderlock.standins.clients import Client
 from elderlock.standins.local_limiter import Limiter
 from elderlock.standins.servers import Server, answers
@@ -73,6 +74,7 @@
     async def test() -> None:
         server = await Server(answers(None)).start()
         limiter = await Limiter.start(server)
+        limiter.clients.excess_input = ExcessInput(max_bytes=0)
         client = await limiter.client()
         send_up_to_pending_limit(client)
         send_write(client, "in-the-reader", "pay")
