--- a/elderlock/net/client_listener.py
+++ b/elderlock/net/client_listener.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 
 from elderlock.net.client_commands import CommandParser
-from elderlock.net.client_connection import ClientConnection, CloseReason
+from elderlock.net.client_connection import ClientConnection
+from elderlock.net.connection_owner import CloseReason
 from elderlock.net.excess_input import ExcessInput
 from elderlock.net.gateway import Gateway
 from elderlock.net.open_requests import BYTES_PER_MB
--- /dev/null
+++ b/elderlock/net/connection_owner.py
@@ -0,0 +1,58 @@
+"""What a client connection uses of the listener that accepted it."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+from elderlock.net.client_commands import CommandParser
+from elderlock.net.excess_input import ExcessInput
+from elderlock.net.gateway import Gateway
+
+if TYPE_CHECKING:
+    from elderlock.net.client_connection import ClientConnection
+
+
+class CloseReason(Enum):
+    """Why the limiter shuts down its side of a client connection, as its log names it."""
+
+    ERROR = "errors of the client"
+    DRAIN = "drain"
+    IDLE_LIMIT = "limit on idle connections"
+    DESCRIPTOR_LIMIT = "limit on descriptors"
+    PROCESS_END = "end of the process"
+
+
+class ConnectionOwner(Protocol):
+    """The interface that a connection uses of the listener that accepted it.
+
+    Attributes:
+        loop: The event loop.
+        gateway: Handles the requests.
+        parser: Parses the requests.
+        receive_buffer: Shared by all connections; the bytes are copied out before the next read.
+        excess_input: Limits the unhandled bytes beyond `MAX_UNREAD_BYTES` over all connections.
+        is_draining: Whether a connection closes once it has no answer pending.
+        is_cordoned: Whether an operator drained this limiter.
+    """
+
+    loop: asyncio.AbstractEventLoop
+    gateway: Gateway
+    parser: CommandParser
+    receive_buffer: memoryview
+    excess_input: ExcessInput
+    is_draining: bool
+    is_cordoned: bool
+
+    def connection_opened(self, connection: ClientConnection) -> None:
+        """Count a new connection."""
+
+    def command_received(self, connection: ClientConnection) -> None:
+        """Record that the connection has sent a complete command."""
+
+    def connection_half_closed(self, connection: ClientConnection) -> None:
+        """Record that the connection only waits for its client to close."""
+
+    def connection_closed(self, connection: ClientConnection) -> None:
+        """Stop counting the connection."""
--- a/elderlock/sim/invariant_checkers.py
+++ b/elderlock/sim/invariant_checkers.py
@@ -186,6 +186,8 @@
             return
         if word == "wrong":
             self.report(at, f"{request} got the answer to another request from {open_request.limiter}")
+        elif word == "dropped":
+            self.report(at, f"{request} had been read when {open_request.limiter} closed its connection")
         elif at > open_request.deadline + self._rules.grace:
             late = at - open_request.deadline
             self.report(at, f"{request} was answered {word} {late:.0f} ms late by {open_request.limiter}")
--- a/elderlock/sim/taps.py
+++ b/elderlock/sim/taps.py
@@ -12,6 +12,10 @@
 
 from elderlock.standins.servers import MISSING
 
+# What the limiter's machine had for this long before it closed the connection counts as read. It may be held up for
+# 150 ms, and the observer learns of bytes and closes with a delay.
+READ_AFTER_MS = 500.0
+
 
 class CheckerEvents(Protocol):
     """The invariant checkers, or a recorder of their events."""
@@ -54,19 +58,19 @@
         self.process = world.incarnation(limiter)
         self._sent = hiredis.Reader(notEnoughData=MISSING)
         self._received = hiredis.Reader(notEnoughData=MISSING)
-        self._unanswered: deque[str] = deque()
+        self._unanswered: deque[tuple[str, float]] = deque()  # each command's request, or "", and when it was sent
 
     def wrote(self, data: bytes) -> None:
         """Observes bytes that the client wrote."""
         self._sent.feed(data)
         while (command := self._sent.gets()) is not MISSING:
+            world = self._world
             if command[0] != b"API.READ":
-                self._unanswered.append("")
+                self._unanswered.append(("", world.at()))
                 continue
             name = command[2].decode()
             options = dict(pair.split("=", 1) for pair in command[3].decode().split(","))
-            self._unanswered.append(name)
-            world = self._world
+            self._unanswered.append((name, world.at()))
             world.bench.asked(
                 world.at(), name, f"n{self._limiter}", world.at() + float(options["d"]), command[1].decode(), "free"
             )
@@ -76,7 +80,7 @@
         self._received.feed(data)
         try:
             while (answer := self._received.gets()) is not MISSING:
-                name = self._unanswered.popleft() if self._unanswered else ""
+                name = self._unanswered.popleft()[0] if self._unanswered else ""
                 if name:
                     self._world.bench.answered(self._world.at(), name, _outcome(name, answer))
         except hiredis.ProtocolError:
@@ -93,11 +97,22 @@
         elif not self._world.is_alive(self.process) or self._world.has_broken_connections:
             reason = "its limiter was killed, or its connection broken from outside"
         else:
-            return  # the client repeats a request that was under way when the limiter closed its connection
-        for name in self._unanswered:
+            self._report_dropped()
+            return
+        for name, _ in self._unanswered:
             if name:
                 self._world.bench.excused(self._world.at(), name, reason)
 
+    def _report_dropped(self) -> None:
+        """Report the requests that the limiter had read when it closed the connection.
+
+        The client repeats a request that the close crossed, and one that was read too, which would hide its loss.
+        """
+        now_ms = self._world.at()
+        for name, sent_at_ms in self._unanswered:
+            if name and now_ms - sent_at_ms >= READ_AFTER_MS:
+                self._world.bench.answered(now_ms, name, "dropped")
+
 
 def _outcome(name: str, answer: Any) -> str:
     if isinstance(answer, bytes):
--- /dev/null
+++ b/elderlock/soak/run.py
@@ -0,0 +1,137 @@
+"""Runs a soak: starts discovery, servers, limiters and clients, disrupts them, and reports the violations."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+from elderlock.soak.clients import SoakClients
+from elderlock.soak.clock import JudgingClock
+from elderlock.soak.disruptions import Disruptions
+from elderlock.soak.processes import LimiterProcess
+from elderlock.soak.servers import ServerFaults, SoakServer
+from elderlock.soak.verdicts import Verdicts, Violation
+from elderlock.standins.discovery import Discovery
+from elderlock.standins.settings import target
+from elderlock.standins.world import ROOT
+
+SERVER_COUNT = 9
+# Per limiter. Together they exceed the limit on idle connections, which is a sixth of the descriptors.
+USUAL_CLIENTS = 20
+PIPELINING_CLIENTS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class SoakOptions:
+    """What a soak plays.
+
+    Attributes:
+        seed: The seed of clients, servers and disruptions.
+        duration_s: How long it lasts after all limiters are ready.
+        limiter_count: The number of limiter processes.
+        program_directory: The checkout whose limiter is run.
+    """
+
+    seed: int
+    duration_s: float
+    limiter_count: int = 3
+    program_directory: Path = ROOT
+
+
+@dataclass(frozen=True, slots=True)
+class SoakReport:
+    """What a soak has seen.
+
+    Attributes:
+        request_count: The number of requests.
+        answer_count: The number of final answers.
+        crossed_count: The number of requests that the close of their connection crossed.
+        shutdown_count: The number of limiters that were told to end.
+        hold_up_count: The number of hold-ups.
+        violations: The broken rules; their times count from the start of the clients.
+    """
+
+    request_count: int
+    answer_count: int
+    crossed_count: int
+    shutdown_count: int
+    hold_up_count: int
+    violations: tuple[Violation, ...]
+
+    def counts(self) -> dict[str, int]:
+        """Return the number of violations of each broken rule."""
+        return dict(Counter(violation.rule.value for violation in self.violations))
+
+    def first_times_s(self) -> dict[str, float]:
+        """Return when each broken rule was first seen broken."""
+        return {violation.rule.value: round(violation.at_s, 1) for violation in reversed(self.violations)}
+
+
+async def run_soak(options: SoakOptions) -> SoakReport:
+    """Run a soak.
+
+    Raises:
+        TimeoutError: A limiter is not ready in time.
+    """
+    rng = random.Random(options.seed)
+    verdicts = Verdicts()
+    faults = ServerFaults()
+    clock = JudgingClock(asyncio.get_running_loop())
+    servers = [SoakServer(index, verdicts, faults, clock, rng) for index in range(SERVER_COUNT)]
+    for server in servers:
+        await server.start()
+    targets = [target(f"s-{server.index}", server.endpoint) for server in servers]
+    discovery = await Discovery(rows=lambda _port: targets).start()
+    with tempfile.TemporaryDirectory() as folder:
+        limiters = [
+            LimiterProcess(f"n{index}", "%s:%d" % discovery.address, Path(folder), options.program_directory)
+            for index in range(options.limiter_count)
+        ]
+        try:
+            await asyncio.gather(*(limiter.start() for limiter in limiters))
+            return await _play(options, limiters, faults, verdicts, clock, rng)
+        finally:
+            for limiter in limiters:
+                limiter.kill()
+            await discovery.close()
+
+
+async def _play(
+    options: SoakOptions,
+    limiters: list[LimiterProcess],
+    faults: ServerFaults,
+    verdicts: Verdicts,
+    clock: JudgingClock,
+    rng: random.Random,
+) -> SoakReport:
+    def choose_address() -> tuple[str, int]:
+        serving = [limiter for limiter in limiters if limiter.is_serving]
+        return rng.choice(serving or limiters).address
+
+    clients = SoakClients(choose_address, verdicts, clock, rng)
+    disruptions = Disruptions(limiters, SERVER_COUNT, faults, verdicts, clock, rng)
+    work = [clients.send_one_by_one() for _ in range(USUAL_CLIENTS * options.limiter_count)]
+    work += [clients.send_at_once() for _ in range(PIPELINING_CLIENTS * options.limiter_count)]
+    tasks = [asyncio.create_task(each) for each in [clock.run(), *work, disruptions.run()]]
+    done, _ = await asyncio.wait(tasks, timeout=options.duration_s, return_when=asyncio.FIRST_EXCEPTION)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    for task in done:
+        task.result()  # raises what ended it
+    for limiter in limiters:
+        exit_code = limiter.exit_code()
+        if limiter.is_serving and exit_code is not None:
+            verdicts.ended_by_itself(limiter.name, exit_code, clock.now_s())
+    return SoakReport(
+        len(verdicts.requests),
+        clients.answer_count,
+        verdicts.crossed,
+        disruptions.shutdown_count,
+        disruptions.hold_up_count,
+        tuple(verdicts.violations),
+    )
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -58,6 +58,7 @@
     "elderlock.net.clock",
     "elderlock.net.command",
     "elderlock.net.config",
+    "elderlock.net.connection_owner",
     "elderlock.net.discovery",
     "elderlock.net.endpoint_list",
     "elderlock.net.errors",
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -19,8 +19,9 @@
 from programs import connect_when_ready, free_port, record_outcomes, start_program
 
 from elderlock.interface import Outcome
-from elderlock.net.client_connection import MAX_CONSECUTIVE_ERRORS, MAX_PENDING_ANSWERS, ClientConnection, CloseReason
+from elderlock.net.client_connection import MAX_CONSECUTIVE_ERRORS, MAX_PENDING_ANSWERS, ClientConnection
 from elderlock.net.config import parse_config
+from elderlock.net.connection_owner import CloseReason
 from elderlock.net.shutdown import drain_time_limit_s
 from elderlock.spawning import spawn
 from elderlock.standins.clients import Client
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -13,7 +13,7 @@
 from test_endings import connection_of
 
 from elderlock.net import client_listener
-from elderlock.net.client_connection import CloseReason
+from elderlock.net.connection_owner import CloseReason
 from elderlock.standins.clients import Client
 from elderlock.standins.local_limiter import Limiter
 from elderlock.standins.servers import Server
