--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -34,7 +34,7 @@
 
 def pytest_terminal_summary(terminalreporter: TerminalReporter, config: pytest.Config) -> None:
     for failure in known_failures(config):
-        terminalreporter.write_line(f"KNOWN RED: {failure.test}: {failure.cause} ({failure.issue})")
+        terminalreporter.write_line(f"KNOWN RED: {failure}")
 
 
 @pytest.fixture(autouse=True)
