--- a/tests/test_excess_input.py
+++ b/tests/test_excess_input.py
@@ -63,3 +63,22 @@
         assert limiter.clients.excess_input.used_bytes == 0
 
     run(test())
+
+
+def test_half_close_behind_200_commands_ends_them_all() -> None:
+    """A half-close counts as the client's end: nothing that waits behind the pending answers is forwarded."""
+
+    async def test() -> None:
+        server = await Server(answers(None)).start()
+        limiter = await Limiter.start(server)
+        client = await limiter.client()
+        send_up_to_pending_limit(client)
+        for number in range(200):
+            client.read(f"behind-{number}")
+        await until(lambda: len(server.commands) == 1)
+        client.writer.write_eof()
+        await until(lambda: server.lost == 1 and not len(limiter.clients))
+        assert [command[2] for command in server.commands] == [b"first"]
+        assert limiter.gateway.open_request_count == 0
+
+    run(test())
--- a/tests/test_shutdown_commands.py
+++ b/tests/test_shutdown_commands.py
@@ -4,21 +4,26 @@
 """
 
 import asyncio
+import signal
+from pathlib import Path
 
 import hiredis
 import pytest
 from pending_commands import answer_texts, expect_answers, send_up_to_pending_limit, unacknowledged_bytes
+from programs import connect_when_ready, free_port, start_program
 from test_endings import connection_of
 
 from elderlock.net import client_connection, client_listener
 from elderlock.net.excess_input import ExcessInput
 from elderlock.standins.clients import Client
+from elderlock.standins.discovery import Discovery
 from elderlock.standins.local_limiter import Limiter
 from elderlock.standins.servers import Server, answers
-from elderlock.standins.settings import CUSTOMER, terms
+from elderlock.standins.settings import CUSTOMER, raw_config, target, terms
 from elderlock.standins.waiting import run, until
 
 LONG_TIME_S = 10000.0
+HOLD_UP_S = 0.12
 
 
 def send_write(client: Client, name: str, request_class: str) -> None:
@@ -87,3 +92,30 @@
         assert [command[2] for command in server.commands] == [b"first"]
 
     run(test())
+
+
+def test_second_sigterm_and_a_hold_up_lose_no_waiting_command(tmp_path: Path) -> None:
+    """SIGTERM twice, with the process stopped for a moment in between, while a server hangs."""
+
+    async def test() -> None:
+        server = await Server(answers(None)).start()
+        agent = await Discovery({"rev": 1, "all": True, "targets": [target("s", server.endpoint)]}).start()
+        port = free_port()
+        raw = raw_config(f"127.0.0.1:{port}", "%s:%d" % agent.address)
+        for service in raw["settings"]["services"]:
+            service.update({"deadline": 400.0, "goal-time": 20000.0})
+        process = await start_program(tmp_path / "config.json", raw)
+        client = await connect_when_ready(port)
+        send_up_to_pending_limit(client)
+        send_write(client, "behind", "pay")
+        await until(lambda: len(server.commands) == 1)
+        for number in (signal.SIGTERM, signal.SIGSTOP, signal.SIGTERM):
+            process.send_signal(number)
+        await asyncio.sleep(HOLD_UP_S)
+        process.send_signal(signal.SIGCONT)
+        await expect_answers(client, "ERR failed")
+        assert await answer_texts(client, 2) == ["BUSY", None]
+        assert await process.wait() == 0
+        assert [command[2] for command in server.commands] == [b"first"]
+
+    run(test())
