--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -23,6 +23,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -581,8 +582,31 @@
     return figures
 
 
-def main() -> None:
-    """Run the measurements that the command line asks for, and print the figures as JSON."""
+@dataclass(frozen=True, slots=True)
+class Options:
+    """What the command line asks for.
+
+    Attributes:
+        weigh: Compare cost rules and sample sizes.
+        constants: Run with each constant at half and twice its value.
+        split: Play histories on the commits before and after the split.
+        program: Measure the real program over a bare proxy.
+        rounds: Rounds of the measurements of the real program.
+        seconds: Duration of each of them.
+        subset: Number of servers in a subset.
+    """
+
+    weigh: bool
+    constants: bool
+    split: bool
+    program: bool
+    rounds: int
+    seconds: float
+    subset: int
+
+
+def parse_options(arguments: list[str]) -> Options:
+    """Parse the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--weigh", action="store_true", help="compare cost rules and sample sizes")
     parser.add_argument("--constants", action="store_true", help="each constant at half and twice its value")
@@ -593,7 +617,12 @@
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--subset", type=int, default=100)
-    options = parser.parse_args()
+    return Options(**vars(parser.parse_args(arguments)))
+
+
+def main() -> None:
+    """Run the measurements that the command line asks for, and print the figures as JSON."""
+    options = parse_options(sys.argv[1:])
     figures: dict[str, Any] = {**measure_sizes(), **measure_costs()}
     print(json.dumps(figures), flush=True)
     with ProcessPoolExecutor(6) as pool:
@@ -617,9 +646,9 @@
     figures["p99_ratio"] = max(round(run["gone"]["p99"] / run["calm"]["p99"], 2) for run in zones)
     figures["served_share_zone_back"] = min(run["back"]["served"] for run in zones)
     figures["cold_excess"] = max(run["cold_excess"] for run in zones)
-    if options.compare_split:
+    if options.split:
         figures.update(compare_split())
-    if options.measure_program:
+    if options.program:
         figures.update(measure_program(options.rounds, options.seconds))
     print(json.dumps(figures))
 
--- a/tests/benchmarks/test_programs.py
+++ b/tests/benchmarks/test_programs.py
@@ -139,3 +139,12 @@
     program = load("sim_scale")
     for name in ("partition", "power-loss"):
         assert program.load_scenario(name, BENCHMARKS).name == name
+
+
+def test_options_of_the_decisions_benchmark_have_a_field_for_each_flag(load: Any) -> None:
+    """Guards against: a flag is read by another name than its own, and the program ends before its figures."""
+    module = load("decisions")
+    options = module.parse_options(["--weigh", "--constants", "--split", "--program", "--rounds", "1"])
+    assert options == module.Options(
+        weigh=True, constants=True, split=True, program=True, rounds=1, seconds=6.0, subset=100
+    )
