Kill the programs that a test leaves running

A limiter that a timed-out test had left behind half an hour of tests before went on calling discovery ("GET ...") at its port, and such a port can be given to another test's server; that limiter was still running then, and was ended by hand. That its call was the one that arrived is inferred, not seen.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,9 @@
 """Fixtures that all tests share."""
 
+import contextlib
 import fcntl
 import os
+import signal
 import tempfile
 from collections.abc import Iterator
 from pathlib import Path
@@ -11,6 +13,9 @@
 from _pytest.terminal import TerminalReporter
 from hypothesis import settings
 
+# In the command line of each program that tests start as a process of its own.
+PROGRAM_ARGUMENTS = b"\0-m\0elderlock"
+
 # No deadline: how long one example takes depends on the machine.
 settings.register_profile("any machine", deadline=None)
 settings.load_profile("any machine")
@@ -55,6 +60,27 @@
         yield
 
 
+@pytest.fixture(autouse=True)
+def _end_programs() -> Iterator[None]:
+    """Kill the programs that a test leaves running, as one that failed may do.
+
+    Such a limiter goes on calling discovery at its port, which the kernel then gives to a server of another test."""
+    yield
+    for process_id in _children_of_this_process():
+        with contextlib.suppress(FileNotFoundError, ProcessLookupError, ChildProcessError):
+            if PROGRAM_ARGUMENTS in Path(f"/proc/{process_id}/cmdline").read_bytes():
+                os.kill(process_id, signal.SIGKILL)
+                os.waitpid(process_id, 0)
+
+
+def _children_of_this_process() -> list[int]:
+    children: list[int] = []
+    for task in Path("/proc/self/task").iterdir():
+        with contextlib.suppress(FileNotFoundError):  # the thread has ended
+            children += map(int, (task / "children").read_text().split())
+    return children
+
+
 @pytest.fixture
 def tmp_path() -> Iterator[Path]:
     """Replace pytest's fixture with one that has a short path, independent of TMPDIR: a Unix socket's path is limited to
