--- a/elderlock/soak/clients.py
+++ b/elderlock/soak/clients.py
@@ -18,7 +18,8 @@
 from elderlock.standins.servers import MISSING
 from elderlock.standins.settings import CUSTOMER, terms
 
-DEADLINE_S = 2.0
+# Longer than a shutdown waits for open requests.
+DEADLINE_S = 4.0
 # Only a request that is never answered takes so long, also on a busy machine.
 ANSWER_TIMEOUT_S = DEADLINE_S + 4.0 * ANSWER_AFTER_DEADLINE_S
 # More than a limiter handles ahead on one connection (64).
