Log what a request for permits was decided on

Six commands at once sometimes take out two servers where three places are free, and nothing said why. Each request is now logged with its outcome, the version of the ledger that it was decided on, the newest version known to be chosen, the permits held, and what is out of service without a permit.

--- a/elderlock/fleet/consensus/member.py
+++ b/elderlock/fleet/consensus/member.py
@@ -384,6 +384,14 @@
             )
         except LedgerError as error:
             return messages.PermitsAnswer(request.id, name, "refused", (), (str(error),))
+        answer = self._permits_answer(request, result, inventory)
+        self._log_permit_request(request, result, inventory, answer)
+        return answer
+
+    def _permits_answer(
+        self, request: messages.RequestPermits, result: ChangeResult, inventory: Inventory
+    ) -> messages.PermitsAnswer:
+        name = self._owner.name
         if result.chosen:
             return messages.PermitsAnswer(request.id, name, "granted", result.ledger.permits_of_origin(request.origin))
         if result.reasons:
@@ -391,6 +399,26 @@
             return messages.PermitsAnswer(request.id, name, outcome, (), result.reasons)  # type: ignore[arg-type]
         return messages.PermitsAnswer(request.id, name, "away", (), (self.no_quorum_text(),))
 
+    def _log_permit_request(
+        self,
+        request: messages.RequestPermits,
+        result: ChangeResult,
+        inventory: Inventory,
+        answer: messages.PermitsAnswer,
+    ) -> None:
+        """Log what a request for permits was decided on: the ledger, and what is out of service without a permit."""
+        log.info(
+            "permits requested",
+            origin=request.origin,
+            targets=[name for _, name in request.targets],
+            outcome=answer.outcome,
+            reasons=list(answer.reasons),
+            ledger_version=result.ledger.version,
+            chosen_version=self.ledger.version,
+            permits=[f"{permit.target} {permit.origin}" for permit in result.ledger.permits],
+            out_of_service=[item.name for item in (*inventory.servers, *inventory.limiters) if item.out_reason],
+        )
+
     def drain_refusal(self, permits: Sequence[Permit], key: Key, origin: str, generation: int) -> str:
         """Return why a drain is refused.
 
