Refuse a permit only because of a ledger that a majority has chosen

What callers saw: two commands at once were both refused ('2 boxes would be out, 1 are the most') though a place was free.

Cause: a proposer that read another's permit, accepted by a minority and not chosen, declined its own change at once. It then tried to have the value that it had read chosen, but refused also if that failed. Two proposers that read each other's permit both refused, and a permit whose proposer died was a reason to refuse though it was never in force.

Change: a value that is not known to be chosen is proposed unchanged in the same round, and the change counts as declined only once that is chosen. A conflict is retried as for any other change. This takes one round in place of the two before, and what read() returns is chosen now.

--- a/elderlock/fleet/consensus/member.py
+++ b/elderlock/fleet/consensus/member.py
@@ -81,7 +81,7 @@
 
     Attributes:
         chosen: Whether a majority has accepted the changed ledger.
-        ledger: The newest ledger that is known; where the change was declined, the one that was read.
+        ledger: The newest ledger that is known to be chosen.
         reasons: Why the change was declined; empty where it was chosen or too few voters answered.
     """
 
@@ -300,6 +300,8 @@
     async def change(self, change: Change, timeout_s: float = CHANGE_TIMEOUT_S) -> ChangeResult:
         """Propose a change of the ledger, and retry until it is chosen, declined or timed out.
 
+        A change counts as declined only if it is declined for a ledger that a majority has chosen.
+
         `change` may be called several times, also on a ledger that it has changed already, and has to recognise its own
         result.
 
@@ -311,32 +313,28 @@
             LedgerError: The ledger that a majority holds cannot be decoded.
         """
         deadline_s = time.monotonic() + timeout_s
-        refusal_reasons: list[str] = []
+        refusal_reasons: list[str] | None = None
 
         def apply_change(value: bytes) -> bytes | None:
-            changed = change(permit_ledger.decode_ledger(value))
-            if isinstance(changed, list):
-                refusal_reasons[:] = changed
-                return None
-            return permit_ledger.encode_ledger(changed)
+            nonlocal refusal_reasons
+            ledger = permit_ledger.decode_ledger(value)
+            changed = change(ledger)
+            if isinstance(changed, Ledger):
+                refusal_reasons = None
+                return permit_ledger.encode_ledger(changed)
+            refusal_reasons = changed
+            # A value that is not known to be chosen may have been accepted by a minority and then be lost, and a change
+            # that is declined because of it would be declined for nothing. Proposing the value unchanged chooses it.
+            is_known_to_be_chosen = ledger.version <= self.ledger.version
+            return None if is_known_to_be_chosen else value
 
         async with self._change_lock:
             while True:
                 paxos_round = await self._run_round(apply_change, self.voters, self.quorum)
                 if paxos_round.phase is Phase.CHOSEN:
                     self._on_chosen(paxos_round.value)
-                    return ChangeResult(True, self.ledger)
-                if paxos_round.phase is Phase.DECLINED:
-                    read_ledger = permit_ledger.decode_ledger(paxos_round.value)
-                    if read_ledger.version > self.ledger.version:
-                        # A proposer that got too few answers, or died, may have left this value accepted without
-                        # anyone knowing it to be chosen. A plan that it changed would then stop for good: every later
-                        # proposer that reads it declines, as its change is already made. Proposing the value once more
-                        # unchanged makes it chosen, and the other agents are notified.
-                        confirming_round = await self._run_round(lambda value: value, self.voters, self.quorum)
-                        if confirming_round.phase is Phase.CHOSEN:
-                            self._on_chosen(confirming_round.value)
-                    return ChangeResult(False, read_ledger, tuple(refusal_reasons))
+                if paxos_round.phase in (Phase.CHOSEN, Phase.DECLINED):
+                    return ChangeResult(refusal_reasons is None, self.ledger, tuple(refusal_reasons or ()))
                 if time.monotonic() >= deadline_s:
                     return ChangeResult(False, self.ledger)
                 await asyncio.sleep(self._rng.uniform(*RETRY_DELAY_RANGE_S))
@@ -350,8 +348,7 @@
     async def read(self) -> Ledger | None:
         """Read the ledger through a majority.
 
-        The result is at least as new as any ledger that was chosen before the call. It may not be chosen yet itself, so
-        it may be a reason to refuse something, but not the only reason to act.
+        The result was chosen by a majority, and is at least as new as any ledger that was chosen before the call.
 
         Returns:
             The ledger; None where too few voters answer.
