--- a/elderlock/fleet/client/drain_commands.py
+++ b/elderlock/fleet/client/drain_commands.py
@@ -113,9 +113,9 @@
         on_plan_change: Is called with the state of the group's plan, for people, whenever it has changed, if the group
             carries out the drain.
     """
-    observation = await observe_group(
-        group, accounts=0, timeout_s=order.deadline, fresh_timeout_ms=PLAN_FRESH_TIMEOUT_MS
-    )
+    loop = asyncio.get_running_loop()
+    deadline_s = None if order.give_up_after is None else loop.time() + order.give_up_after
+    observation = await _observe_until_answered(group, order, deadline_s)
     if not observation.shown:
         lines = [f"agent {name}: {failure_reason(failure)}" for name, failure in observation.missing.items()]
         return Result(Exit.NOTHING, None, (), [], [*lines, "no agent answers: nothing was done"])
@@ -126,8 +126,6 @@
     if unsafe and not order.force:
         return Result(Exit.UNSAFE, plan, unsafe, [], [])
     reports: list[CommandReport] = []
-    loop = asyncio.get_running_loop()
-    deadline_s = None if order.give_up_after is None else loop.time() + order.give_up_after
     if group.budget and order.drained and not order.force and len(steps) > 1 and order.expect is None:
         return await _drain_by_plan(group, order, plan, steps, deadline_s, on_plan_change)
     for number, step in enumerate(steps, 1):
@@ -147,6 +145,20 @@
     return Result(_combined_exit(reports), plan, unsafe, reports, [])
 
 
+async def _observe_until_answered(group: Group, order: Order, deadline_s: float | None) -> GroupObservation:
+    """Request the state of the group, again until an agent answers or the deadline has passed.
+
+    Without a deadline it is requested once: a command that has begun nothing does not wait for a group that is down.
+    """
+    while True:
+        observation = await observe_group(
+            group, accounts=0, timeout_s=order.deadline, fresh_timeout_ms=PLAN_FRESH_TIMEOUT_MS
+        )
+        if observation.shown or deadline_s is None or asyncio.get_running_loop().time() >= deadline_s:
+            return observation
+        await asyncio.sleep(RETRY_INTERVAL_S)
+
+
 def _combined_exit(reports: Iterable[CommandReport]) -> Exit:
     """Return the exit code of several steps."""
     outcomes = {report.outcome() for report in reports}
--- a/tests/rollout/test_processes.py
+++ b/tests/rollout/test_processes.py
@@ -7,9 +7,11 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 from elderlock.control.records import Record
 from elderlock.fleet import messages
+from elderlock.fleet.client.answers import Missing
 from elderlock.fleet.client.drain_commands import Order, carry_out
 from elderlock.fleet.client.group_client import Group
 from elderlock.fleet.client.plan_commands import begin
@@ -32,6 +34,17 @@
     return any(line.endswith("is not known") for line in status.lines)
 
 
+class CountingGroup(Group):
+    """Counts the requests to all agents that none of them answered."""
+
+    unanswered_count = 0
+
+    async def ask_all(self, *arguments: Any, **options: Any) -> dict[str, Any]:
+        answers = await super().ask_all(*arguments, **options)
+        self.unanswered_count += all(isinstance(answer, Missing) for answer in answers.values())
+        return answers
+
+
 class RunningGroup:
     """Three agents with one limiter each, and six servers, of which three may be out of service."""
 
@@ -139,6 +152,28 @@
     run(test(), within=60.0)
 
 
+def test_a_command_asks_again_until_it_gives_up_while_no_agent_answers() -> None:
+    """With `--give-up-after 8` a command ended after one second with exit 4, as the agents were busy for a second."""
+
+    async def test() -> None:
+        async with three_agents() as running:
+            for agent in VOTERS:
+                running.ground.signal(agent, signal.SIGSTOP, "it was stopped")
+            group = CountingGroup.read(running.ground.group_path, running.ground.token_path("an"))
+            assert isinstance(group, CountingGroup)
+            order = Order("box", ("s-00",), True, deadline=0.3, give_up_after=60.0, wait_finished=False)
+            command = asyncio.create_task(carry_out(group, order, lambda *_: None))
+            while not group.unanswered_count and not command.done():
+                await asyncio.sleep(0.01)
+            for agent in VOTERS:
+                running.ground.signal(agent, signal.SIGCONT, "")
+            result = await command
+            assert result.exit is Exit.DONE, result.lines
+            group.close()
+
+    run(test(), within=90.0)
+
+
 def test_of_two_simultaneous_requests_for_three_servers_each_only_one_is_granted() -> None:
     async def test() -> None:
         async with three_agents() as running:
