Find the end of a client whose connection is not being read

What callers saw: attempts began or went on for a client that had gone, up to its timeout, if its connection was not being read: more than 128 KiB of commands behind 64 pending answers, with a sixteenth of the memory in use.

Cause: the event loop reports an end only after all bytes before it are read. The kernel knows it once it has arrived.

What remains is an end that has not arrived in the machine, behind more than the kernel's buffer takes.

Connections that are read pay nothing.

--- a/elderlock/net/client_connection.py
+++ b/elderlock/net/client_connection.py
@@ -12,6 +12,7 @@
 
 from elderlock.net.client_commands import ARGUMENT_COUNTS, CommandError
 from elderlock.net.connection_owner import CloseReason, ConnectionOwner
+from elderlock.net.end_poller import EndPoller
 from elderlock.net.resp import CommandReader, ProtocolError
 from elderlock.net.unread_input import UnreadInput
 
@@ -90,6 +91,7 @@
         # For unhandled bytes: the total number of bytes fed including them, and the loop time (s) of their arrival.
         self._arrival_times: deque[tuple[int, float]] = deque()
         self._linger_timer: asyncio.TimerHandle | None = None
+        self._end_poller = EndPoller(listener.loop, self.eof_received)
         self.has_sent_command = False
         self.waiting_since_s = listener.loop.time()
 
@@ -103,6 +105,7 @@
     def connection_lost(self, _exc: Exception | None) -> None:
         """Abandon the pending requests, as the client is gone."""
         self._listener.connection_closed(self)
+        self._end_poller.stop()
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         self._abandon_pending()
@@ -217,8 +220,8 @@
     def _update_reading(self) -> None:
         """Pause or resume the transport's reading.
 
-        While too many answers are pending, commands are still read into the buffer, because the end of a connection is
-        only detected while it is being read.
+        While too many answers are pending, commands are still read into the buffer, where the event loop detects the
+        end of the connection. The socket is polled for it while there is no memory for that.
         """
         has_too_many_pending = self._has_too_many_pending()
         if not has_too_many_pending and not self._excess_bytes and not self._is_read_paused:
@@ -232,7 +235,9 @@
         self._is_read_paused = pause
         if pause:
             self._transport.pause_reading()
+            self._end_poller.start(self._transport)
         else:
+            self._end_poller.stop()
             self._transport.resume_reading()
 
     def _count_excess_bytes(self, excess_bytes: int) -> None:
@@ -319,6 +324,7 @@
         # request arrives, would reset the connection and lose the last answer.
         self._state = ConnectionState.HALF_CLOSED
         self._listener.connection_half_closed(self)
+        self._end_poller.stop()
         self._transport.resume_reading()
         self._transport.write_eof()
         self._linger_timer = self._listener.loop.call_later(LINGER_S, self.abort)
--- a/elderlock/sim/virtual/network.py
+++ b/elderlock/sim/virtual/network.py
@@ -210,6 +210,10 @@
         """Returns whether the kernel holds bytes, or the end of the stream, that the protocol was not given."""
         return bool(self._received) or self._eof_received
 
+    def has_ended(self) -> bool:
+        """Returns whether the end of the stream has arrived, whatever is still unread before it."""
+        return self._eof_received
+
     def pause_reading(self) -> None:
         """Stops passing data to the protocol."""
         self._reading_paused = True
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -62,6 +62,7 @@
     "elderlock.net.discovery",
     "elderlock.net.endpoint_list",
     "elderlock.net.errors",
+    "elderlock.net.end_poller",
     "elderlock.net.excess_input",
     "elderlock.net.gateway",
     "elderlock.net.open_requests",
