Judge in the soak when a request with a key is begun again

The soak took a repeat of a request with a key for allowed at any time. It is now held to the window in which servers recognise the key, counted from the first attempt that a server has begun.

--- a/elderlock/soak/clients.py
+++ b/elderlock/soak/clients.py
@@ -13,6 +13,7 @@
 
 import hiredis
 
+from elderlock.interface.settings import Idempotency
 from elderlock.soak.clock import JudgingClock
 from elderlock.soak.verdicts import ANSWER_AFTER_DEADLINE_S, Request, Verdicts
 from elderlock.standins.servers import MISSING
@@ -31,8 +32,13 @@
 LONG_BODY_FRACTION = 0.1
 LONG_BODY_BYTES = 3000
 ACKNOWLEDGEMENT_POLL_S = 0.002
-REPEATABLE_CLASS = "lookup"
-CLASSES = (REPEATABLE_CLASS, "book", "pay")
+READ_CLASS = "lookup"
+IDEMPOTENCY_BY_CLASS = {
+    READ_CLASS: Idempotency.IDEMPOTENT,
+    "book": Idempotency.WITH_KEY,
+    "pay": Idempotency.NOT_IDEMPOTENT,
+}
+CLASSES = tuple(IDEMPOTENCY_BY_CLASS)
 CONNECT_RETRY_S = 0.05
 
 
@@ -127,14 +133,14 @@
         for _ in range(count):
             request_class = self._rng.choice(CLASSES)
             request_id = b"q%d" % next(self._numbers)
-            is_repeatable = request_class != "pay"
-            requests.append(self._verdicts.add(Request(request_id, is_repeatable, deadline_s)))
+            request = Request(request_id, IDEMPOTENCY_BY_CLASS[request_class], deadline_s)
+            requests.append(self._verdicts.add(request))
             commands.append(self._encode(request_id, request_class))
         return b"".join(commands), requests
 
     def _encode(self, request_id: bytes, request_class: str) -> bytes:
         options = terms(c=request_class, d=int(DEADLINE_S * 1000))
-        if request_class == REPEATABLE_CLASS:
+        if request_class == READ_CLASS:
             return _pack("API.READ", CUSTOMER, request_id, options)
         body = b"x" * (LONG_BODY_BYTES if self._rng.random() < LONG_BODY_FRACTION else 20)
         return _pack("API.WRITE", CUSTOMER, request_id, options, body)
--- a/elderlock/soak/disruptions.py
+++ b/elderlock/soak/disruptions.py
@@ -9,7 +9,7 @@
 
 from elderlock.soak.clock import JudgingClock
 from elderlock.soak.processes import LimiterProcess
-from elderlock.soak.servers import ServerFaults
+from elderlock.soak.servers import ServerFaults, SoakServer
 from elderlock.soak.verdicts import Verdicts
 
 HANGING_FRACTION = (0.25, 0.5)
@@ -31,14 +31,14 @@
     def __init__(
         self,
         limiters: Sequence[LimiterProcess],
-        server_count: int,
+        servers: Sequence[SoakServer],
         faults: ServerFaults,
         verdicts: Verdicts,
         clock: JudgingClock,
         rng: random.Random,
     ) -> None:
         self._limiters = limiters
-        self._server_count = server_count
+        self._servers = servers
         self._faults = faults
         self._verdicts = verdicts
         self._clock = clock
@@ -59,14 +59,18 @@
             await asyncio.sleep(QUIET_S)
 
     async def _shut_down_while_servers_hang(self) -> None:
-        hanging_count = round(self._server_count * self._rng.uniform(*HANGING_FRACTION))
-        self._faults.hanging = frozenset(self._rng.sample(range(self._server_count), hanging_count))
+        hanging_count = round(len(self._servers) * self._rng.uniform(*HANGING_FRACTION))
+        hanging = self._rng.sample(self._servers, hanging_count)
+        self._faults.hanging = frozenset(server.index for server in hanging)
         await asyncio.sleep(self._rng.uniform(*HANGS_BEFORE_SHUTDOWN_S))
         limiter = self._rng.choice(self._limiters)
         self.shutdown_count += 1
         exit_code = await limiter.shut_down()
         if exit_code != 0:
             self._verdicts.ended_by_itself(limiter.name, exit_code, self._clock.now_s())
+        # Their requests may have run: only what may be repeated so long after its first attempt is sent again.
+        for server in hanging:
+            server.abort_connections()
         self._faults.hanging = frozenset()
         await limiter.start()
 
--- a/elderlock/soak/processes.py
+++ b/elderlock/soak/processes.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from elderlock.soak.clients import DEADLINE_S
+from elderlock.soak.verdicts import DEDUPLICATION_WINDOW_S
 from elderlock.spawning import spawn
 from elderlock.standins.settings import raw_config
 from elderlock.standins.world import free_address
@@ -25,7 +26,6 @@
 # So few that usual clients exceed the limit on idle connections, and more than clients hold.
 DESCRIPTORS = 96
 MEMORY_MB = 64
-DEDUPLICATION_WINDOW_MS = 3000.0
 
 
 class LimiterProcess:
@@ -121,7 +121,7 @@
     deadline = {"goal-time": 600.0, "deadline": DEADLINE_S * 1000.0}
     raw["settings"]["services"] = [
         {"name": "lookup", "effect": "free", **deadline},
-        {"name": "book", "effect": "guarded", "memory-span": DEDUPLICATION_WINDOW_MS, **deadline},
+        {"name": "book", "effect": "guarded", "memory-span": DEDUPLICATION_WINDOW_S * 1000.0, **deadline},
         {"name": "pay", "effect": "single_shot", **deadline},
     ]
     raw["settings"]["plans"] = [{"name": "team", "price": 1.0, "quota-rate": 1e6, "burst": 1e6}]
--- a/elderlock/soak/run.py
+++ b/elderlock/soak/run.py
@@ -91,9 +91,16 @@
             LimiterProcess(f"n{index}", "%s:%d" % discovery.address, Path(folder), options.program_directory)
             for index in range(options.limiter_count)
         ]
+
+        def choose_address() -> tuple[str, int]:
+            serving = [limiter for limiter in limiters if limiter.is_serving]
+            return rng.choice(serving or limiters).address
+
+        clients = SoakClients(choose_address, verdicts, clock, rng)
+        disruptions = Disruptions(limiters, servers, faults, verdicts, clock, rng)
         try:
             await asyncio.gather(*(limiter.start() for limiter in limiters))
-            return await _play(options, limiters, faults, verdicts, clock, rng)
+            return await _play(options, limiters, clients, disruptions, verdicts, clock)
         finally:
             for limiter in limiters:
                 limiter.kill()
@@ -103,17 +110,11 @@
 async def _play(
     options: SoakOptions,
     limiters: list[LimiterProcess],
-    faults: ServerFaults,
+    clients: SoakClients,
+    disruptions: Disruptions,
     verdicts: Verdicts,
     clock: JudgingClock,
-    rng: random.Random,
 ) -> SoakReport:
-    def choose_address() -> tuple[str, int]:
-        serving = [limiter for limiter in limiters if limiter.is_serving]
-        return rng.choice(serving or limiters).address
-
-    clients = SoakClients(choose_address, verdicts, clock, rng)
-    disruptions = Disruptions(limiters, SERVER_COUNT, faults, verdicts, clock, rng)
     work = [clients.send_one_by_one() for _ in range(USUAL_CLIENTS * options.limiter_count)]
     work += [clients.send_at_once() for _ in range(PIPELINING_CLIENTS * options.limiter_count)]
     tasks = [asyncio.create_task(each) for each in [clock.run(), *work, disruptions.run()]]
--- a/elderlock/soak/servers.py
+++ b/elderlock/soak/servers.py
@@ -48,6 +48,20 @@
         self._verdicts = verdicts
         self._faults = faults
         self._rng = rng
+        self._connections: set[_ServerConnection] = set()
+
+    def connection_opened(self, connection: _ServerConnection) -> None:
+        """Count a limiter's connection."""
+        self._connections.add(connection)
+
+    def connection_closed(self, connection: _ServerConnection) -> None:
+        """Stop counting a limiter's connection."""
+        self._connections.discard(connection)
+
+    def abort_connections(self) -> None:
+        """Close all connections without answering what they have brought, as a process that is killed does."""
+        for connection in list(self._connections):
+            connection.abort()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -87,6 +101,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        self._server.connection_opened(self)
+
+    def connection_lost(self, _exc: Exception | None) -> None:
+        self._server.connection_closed(self)
 
     def data_received(self, data: bytes) -> None:
         self._parser.feed(data)
@@ -94,6 +112,11 @@
             self.command_count += 1
             self._server.begin(command[2], self)
 
+    def abort(self) -> None:
+        """Close the connection without answering what it has brought."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def write(self, answer: bytes) -> None:
         """Write an answer, unless the limiter has closed the connection."""
         if self._transport is not None and not self._transport.is_closing():
--- a/elderlock/soak/verdicts.py
+++ b/elderlock/soak/verdicts.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from elderlock.interface.settings import Idempotency
+
 # Longer than the limiter may be held up (0.15 s) and its loop may be busy.
 READ_AFTER_S = 0.3
 # An attempt may begin this long after its client's close: the protocol's 0.1 s and a hold-up of 0.15 s.
@@ -17,6 +19,11 @@
 # An answer may come half a second after the request's time; the rest is for this process's own delays.
 ANSWER_AFTER_DEADLINE_S = 0.8
 
+# How long after its first attempt servers recognise a request that has a key.
+DEDUPLICATION_WINDOW_S = 1.0
+# A repeat that was sent within the window may begin this much later: its limiter's hold-up lies between.
+BEGIN_AFTER_WINDOW_S = 0.3
+
 
 class Rule(Enum):
     """The rules that are judged."""
@@ -49,21 +56,23 @@
 
     Attributes:
         request_id: Its id.
-        is_repeatable: Whether its class may be repeated.
+        idempotency: The effect of a repeat.
         deadline_s: Until when its client waits.
         acknowledged_at_s: Since when the limiter's machine is known to have all of it; None if that is not known.
         closed_at_s: When its client closed the connection; None if it did not.
         is_answered: Whether it has its final answer.
         begun: How often a server began it.
+        first_begun_at_s: When a server first began it; None until then.
     """
 
     request_id: bytes
-    is_repeatable: bool
+    idempotency: Idempotency
     deadline_s: float
     acknowledged_at_s: float | None = None
     closed_at_s: float | None = None
     is_answered: bool = False
     begun: int = 0
+    first_begun_at_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -123,12 +132,22 @@
         if request is None:
             return
         request.begun += 1
-        if request.begun > 1 and not request.is_repeatable:
-            self.report(Rule.RUN_TWICE, now_s, f"{request_id!r} was begun {request.begun} times")
+        if request.first_begun_at_s is None:
+            request.first_begun_at_s = now_s
+        else:
+            self._judge_repeat(request, now_s - request.first_begun_at_s, now_s)
         if request.closed_at_s is not None and now_s - request.closed_at_s > ATTEMPT_AFTER_CLOSE_S:
             late_s = now_s - request.closed_at_s
             self.report(Rule.ATTEMPT_AFTER_CLOSE, now_s, f"{request_id!r} was begun {late_s:.2f} s after the close")
 
+    def _judge_repeat(self, request: Request, since_first_s: float, now_s: float) -> None:
+        if request.idempotency is Idempotency.NOT_IDEMPOTENT:
+            self.report(Rule.RUN_TWICE, now_s, f"{request.request_id!r} was begun {request.begun} times")
+        is_recognised = since_first_s <= DEDUPLICATION_WINDOW_S + BEGIN_AFTER_WINDOW_S
+        if request.idempotency is Idempotency.WITH_KEY and not is_recognised:
+            text = f"{request.request_id!r} has a key and was begun again after {since_first_s:.2f} s"
+            self.report(Rule.RUN_TWICE, now_s, text)
+
 
 def value_of(request_id: bytes) -> bytes:
     """Return the value that servers make for a request, and for no other."""
--- a/tests/soak/test_verdicts.py
+++ b/tests/soak/test_verdicts.py
@@ -2,9 +2,12 @@
 
 import pytest
 
+from elderlock.interface.settings import Idempotency
 from elderlock.soak.verdicts import (
     ANSWER_AFTER_DEADLINE_S,
     ATTEMPT_AFTER_CLOSE_S,
+    BEGIN_AFTER_WINDOW_S,
+    DEDUPLICATION_WINDOW_S,
     READ_AFTER_S,
     Request,
     Rule,
@@ -12,6 +15,8 @@
     value_of,
 )
 
+LAST_BEGIN_S = DEDUPLICATION_WINDOW_S + BEGIN_AFTER_WINDOW_S
+
 
 def verdicts_with(request: Request) -> Verdicts:
     verdicts = Verdicts()
@@ -30,7 +35,7 @@
 def test_request_is_lost_if_it_had_been_read_when_its_connection_closed(
     acknowledged_at_s: float | None, broken: list[Rule]
 ) -> None:
-    request = Request(b"q", True, 12.0, acknowledged_at_s)
+    request = Request(b"q", Idempotency.IDEMPOTENT, 12.0, acknowledged_at_s)
     verdicts = verdicts_with(request)
     verdicts.closed_by_limiter(request, 10.0)
     assert rules(verdicts) == broken
@@ -47,29 +52,39 @@
     ],
 )
 def test_answer_has_to_be_the_requests_own_and_in_time(value: bytes | None, at_s: float, broken: list[Rule]) -> None:
-    request = Request(b"q", True, 2.0)
+    request = Request(b"q", Idempotency.IDEMPOTENT, 2.0)
     verdicts = verdicts_with(request)
     verdicts.answered(request, value, at_s)
     assert rules(verdicts) == broken
 
 
-@pytest.mark.parametrize(("is_repeatable", "broken"), [(True, []), (False, [Rule.RUN_TWICE])])
-def test_only_a_repeatable_request_may_be_begun_twice(is_repeatable: bool, broken: list[Rule]) -> None:
-    verdicts = verdicts_with(Request(b"q", is_repeatable, 2.0))
+@pytest.mark.parametrize(
+    ("idempotency", "second_at_s", "broken"),
+    [
+        (Idempotency.IDEMPOTENT, 9.0, []),
+        (Idempotency.WITH_KEY, 0.9 * LAST_BEGIN_S, []),
+        (Idempotency.WITH_KEY, 1.1 * LAST_BEGIN_S, [Rule.RUN_TWICE]),
+        (Idempotency.NOT_IDEMPOTENT, 0.5, [Rule.RUN_TWICE]),
+    ],
+)
+def test_a_request_is_begun_again_only_as_its_class_allows(
+    idempotency: Idempotency, second_at_s: float, broken: list[Rule]
+) -> None:
+    verdicts = verdicts_with(Request(b"q", idempotency, 20.0))
     verdicts.attempt_begun(b"q", 1.0)
-    verdicts.attempt_begun(b"q", 1.5)
+    verdicts.attempt_begun(b"q", 1.0 + second_at_s)
     assert rules(verdicts) == broken
 
 
 @pytest.mark.parametrize(("factor", "broken"), [(0.9, []), (1.1, [Rule.ATTEMPT_AFTER_CLOSE])])
 def test_no_attempt_begins_long_after_its_clients_close(factor: float, broken: list[Rule]) -> None:
-    verdicts = verdicts_with(Request(b"q", True, 2.0, closed_at_s=1.0))
+    verdicts = verdicts_with(Request(b"q", Idempotency.IDEMPOTENT, 2.0, closed_at_s=1.0))
     verdicts.attempt_begun(b"q", 1.0 + factor * ATTEMPT_AFTER_CLOSE_S)
     assert rules(verdicts) == broken
 
 
 def test_request_without_an_answer_in_time_is_lost() -> None:
-    request = Request(b"q", True, 2.0)
+    request = Request(b"q", Idempotency.IDEMPOTENT, 2.0)
     verdicts = verdicts_with(request)
     verdicts.expired(request, 3.0)
     assert rules(verdicts) == [Rule.LOST]
