Split the member of the consensus by concern

member.py had 610 lines: votes, rounds, permits and their release. Rounds are run by proposer.py, permits are released by permit_releaser.py, what the parts share is in interfaces.py; member.py has 365 lines. gather_answers stands with the links to other agents. No change of behaviour; tests/rollout passes.

--- a/elderlock/fleet/consensus/member.py
+++ b/elderlock/fleet/consensus/member.py
@@ -1,7 +1,7 @@
 """Take an agent's part in what its group agrees on by a majority.
 
-An agent votes as an acceptor, proposes changes of the ledger, grants permits to commands, and releases permits that
-nobody uses. `elderlock.rollout` makes the decisions; this module sends the messages and stores the votes.
+An agent votes as an acceptor, proposes changes of the ledger, and grants permits to commands. `elderlock.rollout` makes
+the decisions; this module sends the messages and stores the votes.
 
 A vote is decided, then stored, then sent. An agent that has just started votes once enough other voters have said that
 they did not see it promise a greater ballot than it has stored. An agent that has lost its votes, because its store is
@@ -13,23 +13,22 @@
 import asyncio
 import random
 import time
-from collections.abc import Awaitable, Callable, Sequence
-from functools import partial
-from typing import NamedTuple, Protocol
+from collections.abc import Callable, Sequence
 
 from elderlock import logs
-from elderlock.control.records import Key, Record, Records
-from elderlock.control.request_client import NoAnswerError, NotSentError
+from elderlock.control.records import Key
 from elderlock.fleet import messages
-from elderlock.fleet.agent_store import Store, StoreError
-from elderlock.fleet.group.peer_link import PeerLink
+from elderlock.fleet.agent_store import StoreError
+from elderlock.fleet.consensus.interfaces import Change, ChangeResult, Owner
+from elderlock.fleet.consensus.permit_releaser import PermitReleaser
+from elderlock.fleet.consensus.proposer import VOTE_TIMEOUT_S, Proposer
+from elderlock.fleet.group.peer_link import gather_answers
 from elderlock.rollout import permit_ledger
 from elderlock.rollout.caspaxos import (
     Acceptor,
     Ballot,
     JoinDecision,
     Phase,
-    Round,
     Vote,
     decide_join,
     recovery_read_count,
@@ -37,62 +36,15 @@
 from elderlock.rollout.disruption_budget import DisruptionBudget, Inventory, budget_status_lines
 from elderlock.rollout.permit_ledger import Ledger, LedgerError, Permit, PermitRequest
 
-VOTE_TIMEOUT_S = 0.5  # for the answer of one voter
 CHANGE_TIMEOUT_S = 2.0  # for all rounds of a change together
 READ_TIMEOUT_S = 1.0  # for all rounds of a read together
 READ_ONLY_REASON = "the ledger was only read"
 RETRY_DELAY_RANGE_S = (0.004, 0.04)  # drawn at random, so that two proposers do not keep conflicting
 JOIN_RETRY_INTERVAL_S = 0.2  # between attempts to become a voter
-PERMIT_CHECK_INTERVAL_S = 1.0  # between checks for permits that can be released
-MAXIMUM_TARGETS_PER_REQUEST = 200  # in one `Progress` message
-UNUSED_PERMIT_TIMEOUT_S = 10.0  # a permit without a drain record for so long is revoked
-PERMIT_CHECK_STAGGER_S = 2.0  # an agent waits so long for each agent that is listed before it in the group's file
 
 log = logs.get_logger(__name__)
 
 
-class Owner(Protocol):
-    """What `ConsensusMember` needs of its agent."""
-
-    name: str
-    store: Store
-    records: Records
-    peers: list[PeerLink]
-
-    def epoch(self) -> int:
-        """Return the agent's epoch, which grows at each start."""
-
-    def inventory(self) -> Inventory:
-        """Return what the agent knows of the group's servers and limiters."""
-
-    def commit_record(self, record: Record, what: str) -> None:
-        """Store the record with a line in the audit log and send it to the limiters and the other agents.
-
-        Raises:
-            StoreError: The record cannot be stored; nothing was done.
-        """
-
-    async def report_progress(self, progress: messages.Progress) -> messages.Progressed:
-        """Report how far the records of some targets have come at this agent's limiters."""
-
-
-class ChangeResult(NamedTuple):
-    """The result of a proposed change.
-
-    Attributes:
-        chosen: Whether a majority has accepted the changed ledger.
-        ledger: The newest ledger that is known to be chosen.
-        reasons: Why the change was declined; empty where it was chosen or too few voters answered.
-    """
-
-    chosen: bool
-    ledger: Ledger
-    reasons: tuple[str, ...] = ()
-
-
-Change = Callable[[Ledger], "Ledger | list[str]"]
-
-
 class ConsensusMember:
     """An agent as a member of its group: an acceptor, if it is one of the voters, and a proposer.
 
@@ -121,7 +73,6 @@
         Raises:
             StoreError: The stored vote cannot be read.
         """
-        self._rank = rank
         self._owner, self.budget, self.voters, self._rng = owner, budget, tuple(voters), rng
         self.ledger = Ledger()
         stored_state = owner.store.vote()
@@ -129,11 +80,9 @@
         self._has_stored_state = stored_state is not None
         self.is_voting = owner.name in self.voters and len(self.voters) == 1
         self.not_voting_reason = "" if self.is_voting else "it has just started"
-        self._greatest_promises: dict[str, Ballot] = {}  # the greatest ballot each other voter promised
-        self._greatest_ballot_number = self._acceptor.promised.number
+        self._proposer = Proposer(owner, self, self._acceptor.promised.number)
         self._change_lock = asyncio.Lock()
-        self._unused_since_s: dict[Permit, float] = {}
-        self._undrained_since_s: dict[Permit, float] = {}  # when the target's newer record was first found
+        self._permit_releaser = PermitReleaser(owner, self, rng, rank)
         self._encoded: tuple[Ledger, bytes] = (self.ledger, b"")
         self._last_decoded_value = b""
         self._tasks: list[asyncio.Task[None]] = []
@@ -148,7 +97,7 @@
         loop = asyncio.get_running_loop()
         if self._owner.name in self.voters and not self.is_voting:
             self._tasks.append(loop.create_task(self._join()))
-        self._tasks.append(loop.create_task(self._check_permits_forever()))
+        self._tasks.append(loop.create_task(self._permit_releaser.run()))
 
     def close(self) -> None:
         """Stop all tasks."""
@@ -212,91 +161,18 @@
         return self._vote_message(request.id, *self._cast_vote(lambda acceptor: acceptor.accept(ballot, request.value)))
 
     def _vote_message(self, request_id: int, is_voting: bool, vote: Vote) -> messages.Voted:
-        self._greatest_ballot_number = max(self._greatest_ballot_number, vote.promised.number)
+        self._proposer.observe_ballot(vote.promised.number)
         return messages.Voted(
             request_id, self._owner.name, is_voting, vote.ok, vote.promised, vote.accepted, vote.value
         )
 
     def on_recall(self, request: messages.Recall) -> messages.Recalled:
         """Tell a voter that has just started the greatest ballot that this agent saw it promise."""
-        greatest_promise = self._greatest_promises.get(request.agent, Ballot())
+        greatest_promise = self._proposer.greatest_promises.get(request.agent, Ballot())
         return messages.Recalled(request.id, self._owner.name, greatest_promise, self._acceptor.accepted == Ballot())
 
     # Changes
 
-    def _ballot(self) -> Ballot:
-        """Return a ballot that was never used before."""
-        self._greatest_ballot_number += 1
-        return Ballot(self._greatest_ballot_number, f"{self._owner.epoch():09d}/{self._owner.name}")
-
-    async def _run_phase(
-        self,
-        paxos_round: Round,
-        make_message: Callable[[int], messages.Message],
-        vote_locally: Callable[[], messages.Voted] | None,
-        on_vote: Callable[[str, Vote], None],
-    ) -> None:
-        """Send the phase's message to all voters at once, and take their answers until the phase ends.
-
-        Args:
-            paxos_round: The round.
-            make_message: Makes the phase's message with a request id.
-            vote_locally: Casts this agent's own vote.
-            on_vote: Takes the vote of a voter.
-        """
-        phase = paxos_round.phase
-        voter_of_task: dict[asyncio.Task[messages.FromAgent], str] = {}
-        loop = asyncio.get_running_loop()
-        peer_links = {peer.name: peer for peer in self._owner.peers}
-        for name in paxos_round.voters:
-            if name == self._owner.name:
-                if vote_locally is not None:
-                    self._take_answer(paxos_round, name, vote_locally(), on_vote)
-            elif name in peer_links:
-                voter_of_task[loop.create_task(peer_links[name].request(make_message, VOTE_TIMEOUT_S))] = name
-            else:
-                paxos_round.on_no_answer(name)
-        pending = set(voter_of_task)
-        try:
-            while pending and paxos_round.phase is phase:
-                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-                for task in done:
-                    error = task.exception()
-                    if isinstance(error, NotSentError | NoAnswerError):
-                        paxos_round.on_no_answer(voter_of_task[task])
-                    elif error is not None:
-                        raise error
-                    else:
-                        self._take_answer(paxos_round, voter_of_task[task], task.result(), on_vote)
-        finally:
-            for task in pending:
-                task.cancel()
-
-    def _take_answer(
-        self, paxos_round: Round, name: str, answer: messages.FromAgent, on_vote: Callable[[str, Vote], None]
-    ) -> None:
-        if not isinstance(answer, messages.Voted) or not answer.voting:
-            return paxos_round.on_no_answer(name)
-        vote = Vote(answer.ok, Ballot(*answer.promised), Ballot(*answer.accepted), answer.value)
-        if vote.ok:
-            self._greatest_promises[name] = max(self._greatest_promises.get(name, Ballot()), vote.promised)
-        on_vote(name, vote)
-
-    async def _run_round(self, change: Callable[[bytes], bytes | None], voters: Sequence[str], quorum: int) -> Round:
-        paxos_round = Round(self._ballot(), voters, change, quorum)
-        number, proposer = paxos_round.ballot
-        prepare = lambda request_id: messages.Prepare(request_id, number, proposer)  # noqa: E731
-        await self._run_phase(
-            paxos_round, prepare, lambda: self.on_prepare(messages.Prepare(0, number, proposer)), paxos_round.on_promise
-        )
-        if paxos_round.phase is Phase.ACCEPT:
-            value = paxos_round.value
-            accept = lambda request_id: messages.Accept(request_id, number, proposer, value)  # noqa: E731
-            vote_locally = lambda: self.on_accept(messages.Accept(0, number, proposer, value))  # noqa: E731
-            await self._run_phase(paxos_round, accept, vote_locally, paxos_round.on_acceptance)
-        self._greatest_ballot_number = max(self._greatest_ballot_number, paxos_round.greatest_ballot.number)
-        return paxos_round
-
     async def change(self, change: Change, timeout_s: float = CHANGE_TIMEOUT_S) -> ChangeResult:
         """Propose a change of the ledger, and retry until it is chosen, declined or timed out.
 
@@ -330,7 +206,7 @@
 
         async with self._change_lock:
             while True:
-                paxos_round = await self._run_round(apply_change, self.voters, self.quorum)
+                paxos_round = await self._proposer.run_round(apply_change, self.voters, self.quorum)
                 if paxos_round.phase is Phase.CHOSEN:
                     self._on_chosen(paxos_round.value)
                 if paxos_round.phase in (Phase.CHOSEN, Phase.DECLINED):
@@ -472,7 +348,9 @@
             return decision is JoinDecision.VOTE
         # The recovered value is written back to the voters that it was read from, under a new ballot, which
         # stops any round in progress.
-        paxos_round = await self._run_round(lambda value: value, other_voters, recovery_read_count(len(self.voters)))
+        paxos_round = await self._proposer.run_round(
+            lambda value: value, other_voters, recovery_read_count(len(self.voters))
+        )
         if paxos_round.phase is not Phase.CHOSEN:
             return False
         try:
@@ -485,126 +363,3 @@
         )
         self.record_ledger(paxos_round.value)
         return True
-
-    # Releasing permits
-
-    async def _check_permits_forever(self) -> None:
-        while True:
-            await asyncio.sleep(PERMIT_CHECK_INTERVAL_S * self._rng.uniform(0.5, 1.0))
-            # forget permits that another agent has released
-            held_permits = set(self.ledger.permits)
-            self._unused_since_s = {
-                each: since_s for each, since_s in self._unused_since_s.items() if each in held_permits
-            }
-            self._undrained_since_s = {
-                each: since_s for each, since_s in self._undrained_since_s.items() if each in held_permits
-            }
-            try:
-                await self._check_permits()
-            except (StoreError, LedgerError) as error:
-                log.error("a permit cannot be released", error=str(error))
-
-    async def _check_permits(self) -> None:
-        """Revoke unused permits, and release those whose targets were undrained.
-
-        The agents take turns by their rank: the first one takes care of a permit, and the next one only where the first
-        did not. Otherwise each agent of a large group would send requests about each permit.
-        """
-        now_s, stagger_s = time.monotonic(), PERMIT_CHECK_STAGGER_S * self._rank
-        active_plan_prefixes = tuple(f"{plan.id}/" for plan in self.ledger.active_plans())
-        undrained_records: dict[Permit, Record] = {}
-        for permit in self.ledger.permits:
-            record = self._owner.records.get(*permit.key)
-            if record is None or record.generation < permit.generation:
-                # The leader of an active plan looks after the plan's permits. Any other permit without a record is
-                # unused because its command has ended.
-                if not permit.origin.startswith(active_plan_prefixes or ("/",)):
-                    since_s = self._unused_since_s.setdefault(permit, now_s)
-                    if now_s - since_s > UNUSED_PERMIT_TIMEOUT_S + stagger_s:
-                        await self._revoke_unused_permit(permit)
-                continue
-            self._unused_since_s.pop(permit, None)
-            is_undrained = not record.is_drained and record.generation > permit.generation
-            if is_undrained and now_s - self._undrained_since_s.setdefault(permit, now_s) >= stagger_s:
-                undrained_records[permit] = record
-        if undrained_records:
-            fenced = await self._fenced_generations(list(undrained_records.values()))
-            if fenced:
-                await self.change(
-                    lambda ledger: permit_ledger.release_fenced_permits(ledger, fenced)
-                    or ["the permits are released already"]
-                )
-
-    async def _revoke_unused_permit(self, permit: Permit) -> None:
-        """Undrain the target of a permit whose requester died before it used it.
-
-        The newer, undrained record also fences the permit if it is used at this moment.
-        """
-
-        def assign_generation(ledger: Ledger) -> Ledger | list[str]:
-            if ledger.find_permit(permit.key) != permit:
-                return ["the permit was released already"]
-            return permit_ledger.with_new_generation(ledger, self._owner.records.greatest_generation())
-
-        result = await self.change(assign_generation)
-        if result.chosen:
-            record = Record(
-                permit.kind,
-                permit.target,
-                False,
-                result.ledger.generation,
-                f"{permit.origin}/back",
-                self._owner.name,
-                time.time() * 1000.0,
-                "its permit was never used",
-            )
-            self._owner.commit_record(
-                record, f"undrained {permit.kind} {permit.target}: the permit of {permit.requested_by} was not used"
-            )
-            self._unused_since_s.pop(permit, None)
-
-    async def _fenced_generations(self, records: Sequence[Record]) -> dict[Key, int]:
-        """Return, by target, a generation such that every limiter refuses older records of the target.
-
-        Each limiter has the record of that generation in force, or is known to start with it. Agents that an operator
-        has given up are not asked.
-
-        Args:
-            records: The newest records of the targets.
-        """
-        fenced = {record.key: record.generation for record in records}
-        given_up = dict(self.ledger.given_up)
-        for batch in (
-            records[n : n + MAXIMUM_TARGETS_PER_REQUEST] for n in range(0, len(records), MAXIMUM_TARGETS_PER_REQUEST)
-        ):
-            targets = tuple((record.kind, record.target) for record in batch)
-            make_message = partial(messages.Progress, targets=targets)
-            answers: list[messages.FromAgent | None] = [
-                await self._owner.report_progress(messages.Progress(0, targets))
-            ]
-            peers = [peer for peer in self._owner.peers if peer.name not in given_up]
-            answers += await gather_answers([peer.request(make_message, 2 * VOTE_TIMEOUT_S) for peer in peers])
-            for answer in answers:
-                if not isinstance(answer, messages.Progressed):
-                    return {}
-                held_orders = {each.key: each.order for each in answer.records}
-                reached_states = ("reached", "at-start")
-                unreached = {(reach.kind, reach.target) for reach in answer.reach if reach.state not in reached_states}
-                for record in batch:
-                    if held_orders.get(record.key, (0, "")) < record.order or record.key in unreached:
-                        fenced.pop(record.key, None)
-        return fenced
-
-
-async def gather_answers(requests: Sequence[Awaitable[messages.FromAgent]]) -> list[messages.FromAgent | None]:
-    """Wait for all requests; the answer is None for each that was not answered."""
-    results = await asyncio.gather(*requests, return_exceptions=True)
-    answers: list[messages.FromAgent | None] = []
-    for each in results:
-        if isinstance(each, BaseException):
-            if not isinstance(each, NotSentError | NoAnswerError):
-                raise each
-            answers.append(None)
-        else:
-            answers.append(each)
-    return answers
--- a/elderlock/fleet/group/peer_link.py
+++ b/elderlock/fleet/group/peer_link.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import ssl
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Protocol
 
 from elderlock import logs
@@ -133,3 +133,17 @@
                     await self._has_news.wait()
             except TimeoutError:
                 pass
+
+
+async def gather_answers(requests: Sequence[Awaitable[messages.FromAgent]]) -> list[messages.FromAgent | None]:
+    """Wait for all requests; the answer is None for each that was not answered."""
+    results = await asyncio.gather(*requests, return_exceptions=True)
+    answers: list[messages.FromAgent | None] = []
+    for each in results:
+        if isinstance(each, BaseException):
+            if not isinstance(each, NotSentError | NoAnswerError):
+                raise each
+            answers.append(None)
+        else:
+            answers.append(each)
+    return answers
--- a/elderlock/fleet/plans/coordinator.py
+++ b/elderlock/fleet/plans/coordinator.py
@@ -23,8 +23,9 @@
 from elderlock.fleet import messages
 from elderlock.fleet.agent_store import StoreError
 from elderlock.fleet.config import FileError
-from elderlock.fleet.consensus.member import ChangeResult, ConsensusMember, gather_answers
-from elderlock.fleet.group.peer_link import PeerLink
+from elderlock.fleet.consensus.interfaces import ChangeResult
+from elderlock.fleet.consensus.member import ConsensusMember
+from elderlock.fleet.group.peer_link import PeerLink, gather_answers
 from elderlock.fleet.plans.agent_release import AgentRelease
 from elderlock.fleet.supervision.managed_limiter import ManagedLimiter
 from elderlock.fleet.supervision.versions import Versions
--- a/tests/proposal_network.py
+++ b/tests/proposal_network.py
@@ -14,7 +14,8 @@
 from elderlock.control.request_client import RequestClient
 from elderlock.fleet import messages
 from elderlock.fleet.agent_store import Store
-from elderlock.fleet.consensus.member import ChangeResult, ConsensusMember
+from elderlock.fleet.consensus.interfaces import ChangeResult
+from elderlock.fleet.consensus.member import ConsensusMember
 from elderlock.rollout.disruption_budget import DisruptionBudget, DisruptionLimits, Inventory, InventoryItem
 from elderlock.rollout.permit_ledger import Ledger, PermitRequest, grant_permits
 
--- a/tests/rollout/test_concurrent_proposals.py
+++ b/tests/rollout/test_concurrent_proposals.py
@@ -9,14 +9,14 @@
 import pytest
 from proposal_network import CHANGE_TIMEOUT_S, NAMES, POLL_INTERVAL_S, ProposalNetwork, proposal_network
 
-from elderlock.fleet.consensus import member
+from elderlock.fleet.consensus import proposer
 from elderlock.fleet.messages import Accept, Prepare
 from elderlock.standins.waiting import run
 
 
 @pytest.fixture(autouse=True)
 def _without_vote_timeouts(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(member, "VOTE_TIMEOUT_S", CHANGE_TIMEOUT_S)
+    monkeypatch.setattr(proposer, "VOTE_TIMEOUT_S", CHANGE_TIMEOUT_S)
 
 
 async def accept_at_one_voter_each(network: ProposalNetwork) -> None:
--- a/tests/rollout/test_processes.py
+++ b/tests/rollout/test_processes.py
@@ -16,7 +16,7 @@
 from elderlock.fleet.client.group_client import Group
 from elderlock.fleet.client.plan_commands import begin
 from elderlock.fleet.client.report import Exit
-from elderlock.fleet.consensus.member import UNUSED_PERMIT_TIMEOUT_S
+from elderlock.fleet.consensus.permit_releaser import UNUSED_PERMIT_TIMEOUT_S
 from elderlock.rollout.plans import RolloutPolicy
 from elderlock.sim.scenario import Settings
 from elderlock.standins.waiting import run, until
