--- a/elderlock/sim/shell_faults.py
+++ b/elderlock/sim/shell_faults.py
@@ -13,8 +13,8 @@
 from elderlock.sim.scenario import Fault, cut_pairs, effective_amount, floor_name
 from elderlock.sim.standin_faults import StandinFaults
 from elderlock.sim.virtual.loop import START_UNIX_S
-from elderlock.sim.virtual.network import Stream
 from elderlock.sim.virtual.processes import start
+from elderlock.sim.virtual.streams import Stream
 
 if TYPE_CHECKING:
     from elderlock.sim.shells import ShellWorld
--- a/elderlock/sim/shells.py
+++ b/elderlock/sim/shells.py
@@ -49,6 +49,7 @@
 from elderlock.sim.trace import Trace
 from elderlock.sim.traffic import arrivals
 from elderlock.sim.virtual.host import SimHost
+from elderlock.sim.virtual.io_faults import Faults, NoFaults
 from elderlock.sim.virtual.loop import (
     START_MONOTONIC_S,
     START_UNIX_S,
@@ -57,8 +58,9 @@
     SimLoop,
     SimulationEnded,
 )
-from elderlock.sim.virtual.network import Faults, Network, NoFaults, Stream
+from elderlock.sim.virtual.network import Network
 from elderlock.sim.virtual.processes import CURRENT_PROCESS, Machine, Process, start
+from elderlock.sim.virtual.streams import Stream
 from elderlock.sim.virtual.system import simulated_system
 from elderlock.standins.counter import Counter
 from elderlock.standins.discovery import Registry
--- a/elderlock/sim/virtual/host.py
+++ b/elderlock/sim/virtual/host.py
@@ -13,7 +13,7 @@
 
 from elderlock.fleet.agent_store import Store
 from elderlock.fleet.host import Host
-from elderlock.sim.virtual.network import Faults
+from elderlock.sim.virtual.io_faults import Faults
 from elderlock.sim.virtual.processes import CURRENT_PROCESS, Machine, Process, context_of
 
 # Starts a limiter's process on a machine with that environment
--- a/tests/sim/test_virtual.py
+++ b/tests/sim/test_virtual.py
@@ -22,8 +22,9 @@
 from elderlock.sim.virtual import loop as virtual
 from elderlock.sim.virtual.host import SimHost
 from elderlock.sim.virtual.loop import START_MONOTONIC_S, DeadlockError, LivelockError, SimLoop
-from elderlock.sim.virtual.network import KERNEL_BUFFER_BYTES, Network
+from elderlock.sim.virtual.network import Network
 from elderlock.sim.virtual.processes import CURRENT_PROCESS, Machine, Process, context_of, start
+from elderlock.sim.virtual.streams import KERNEL_BUFFER_BYTES
 from elderlock.sim.virtual.system import RealTimeError, simulated_system
 
 HERE, THERE = Machine("here", "a", "127.0.1.1"), Machine("there", "b", "127.0.1.2")
