--- a/tests/pending_commands.py
+++ b/tests/pending_commands.py
@@ -36,11 +36,11 @@
     return answer.decode() if isinstance(answer, bytes) else str(answer)
 
 
-def unacknowledged_bytes(client: Client) -> int:
-    """Return the bytes that the client wrote and the limiter's machine has not acknowledged."""
-    sock: socket.socket = client.writer.get_extra_info("socket")
+def unacknowledged_bytes(writer: asyncio.StreamWriter) -> int:
+    """Return the bytes that were written and that the limiter's machine has not acknowledged."""
+    sock: socket.socket = writer.get_extra_info("socket")
     count: int = struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0\0\0\0"))[0]
-    return count + client.writer.transport.get_write_buffer_size()
+    return count + writer.transport.get_write_buffer_size()
 
 
 class BlockingServer:
--- a/tests/test_excess_input.py
+++ b/tests/test_excess_input.py
@@ -62,7 +62,7 @@
         for number in range(MAX_UNREAD_BYTES // BODY_BYTES + 1):
             client.send("API.WRITE", CUSTOMER, f"behind-{number}", terms(c="pay"), "x" * BODY_BYTES)
         await until(lambda: len(server.commands) == 1 and connection_of(limiter)._is_read_paused)
-        await until(lambda: not unacknowledged_bytes(client))
+        await until(lambda: not unacknowledged_bytes(client.writer))
         if is_reset:
             reset(client.writer)
         else:
--- a/tests/test_shutdown_commands.py
+++ b/tests/test_shutdown_commands.py
@@ -4,12 +4,19 @@
 """
 
 import asyncio
+import json
 import signal
 from pathlib import Path
 
 import hiredis
 import pytest
-from pending_commands import answer_texts, expect_answers, send_up_to_pending_limit, unacknowledged_bytes
+from pending_commands import (
+    BlockingServer,
+    answer_texts,
+    expect_answers,
+    send_up_to_pending_limit,
+    unacknowledged_bytes,
+)
 from programs import connect_when_ready, free_port, start_program
 from test_endings import connection_of
 
@@ -85,7 +92,7 @@
         send_write(client, "in-the-reader", "pay")
         await until(lambda: len(server.commands) == 1 and connection_of(limiter)._is_read_paused)
         send_write(client, "in-the-socket", "pay")
-        await until(lambda: unacknowledged_bytes(client) == 0)
+        await until(lambda: unacknowledged_bytes(client.writer) == 0)
         await limiter.clients.drain(accept_for_s=0.0, time_limit_s=0.0)
         await expect_answers(client, "ERR failed")
         assert await answer_texts(client, 3) == ["BUSY", "BUSY", None]
@@ -119,3 +126,45 @@
         assert [command[2] for command in server.commands] == [b"first"]
 
     run(test())
+
+
+@pytest.mark.parametrize("is_drained", [False, True])
+def test_drain_whose_list_is_being_read_at_sigterm_is_kept(tmp_path: Path, is_drained: bool) -> None:
+    """A request that is sent again during the shutdown goes to no server that drains since half a list came before it."""
+
+    async def test() -> None:
+        servers = {uid: BlockingServer() for uid in ("a", "b")}
+        targets = [target(uid, server.endpoint) for uid, server in servers.items()]
+        agent = await Discovery({"rev": 1, "all": True, "targets": targets}).start()
+        port = free_port()
+        process = await start_program(
+            tmp_path / "config.json", raw_config(f"127.0.0.1:{port}", "%s:%d" % agent.address)
+        )
+        client, idle_client = await connect_when_ready(port), await connect_when_ready(port)
+        receiving = {uid: asyncio.create_task(server.receive()) for uid, server in servers.items()}
+        client.read("first")
+        await asyncio.wait(receiving.values(), return_when=asyncio.FIRST_COMPLETED)
+        (used,) = (uid for uid, task in receiving.items() if task.done())
+        (other,) = servers.keys() - {used}
+        state = "draining" if is_drained else "up"
+        changed = target(other, servers[other].endpoint, state=state)
+        line = json.dumps({"rev": 2, "all": False, "targets": [changed]}).encode() + b"\n"
+        await until(lambda: bool(agent.watches))
+        agent.send_line(line[:20])
+        process.send_signal(signal.SIGTERM)
+        assert await idle_client.answer() is None  # the shutdown has begun
+        agent.send_line(line[20:])
+        await until(lambda: not unacknowledged_bytes(agent.watches[-1]))
+        servers[used].close_connection()
+        if is_drained:
+            answer = await client.answer()
+            assert answer is not None and not isinstance(answer, bytes)
+            assert not receiving[other].done()
+        else:
+            await receiving[other]
+            servers[other].answer(b"value")
+            assert await client.answer() == b"value"
+        assert await process.wait() == 0
+        receiving[other].cancel()
+
+    run(test())
