--- a/benchmarks/limiter_cost.py
+++ b/benchmarks/limiter_cost.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 from collections.abc import Sequence
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -187,7 +188,34 @@
 """
 
 
-async def run(options: argparse.Namespace) -> dict[str, Any]:
+@dataclass(frozen=True, slots=True)
+class Options:
+    """What the command line asks for.
+
+    Attributes:
+        rounds: Rounds of each case.
+        seconds: Duration of each measurement.
+        small: Measure the small case only.
+        profile: Profile the limiter in the small case.
+    """
+
+    rounds: int = 3
+    seconds: float = 6.0
+    small: bool = False
+    profile: bool = False
+
+
+def parse_options(arguments: Sequence[str]) -> Options:
+    """Parse the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=6.0)
+    parser.add_argument("--small", action="store_true", help="measure the small case only")
+    parser.add_argument("--profile", action="store_true", help="profile the limiter in the small case")
+    return Options(**vars(parser.parse_args(arguments)))
+
+
+async def run(options: Options) -> dict[str, Any]:
     """Measure all cases; return the figures."""
     rounds, duration_s = options.rounds, options.seconds
     small = await measure_case(900, 1000, 8, rounds, duration_s, options.profile)
@@ -217,12 +245,7 @@
 
 def main() -> None:
     """Print the figures as JSON."""
-    options = argparse.ArgumentParser(description=__doc__)
-    options.add_argument("--rounds", type=int, default=3)
-    options.add_argument("--seconds", type=float, default=6.0)
-    options.add_argument("--small", action="store_true", help="measure the small case only")
-    options.add_argument("--profile", action="store_true", help="profile the limiter in the small case")
-    print(json.dumps(uvloop.run(run(options.parse_args()))))
+    print(json.dumps(uvloop.run(run(parse_options(sys.argv[1:])))))
 
 
 if __name__ == "__main__":
--- a/benchmarks/load_truth.py
+++ b/benchmarks/load_truth.py
@@ -282,7 +282,7 @@
     growth_figures = await measure_growth(15.0 if quick else 60.0)
     cost: dict[str, Any] = {}
     if not quick:
-        cost = await limiter_cost.run(argparse.Namespace(rounds=3, seconds=6.0, profile=False, small=False))
+        cost = await limiter_cost.run(limiter_cost.Options())
     return {
         "percentile_error_max": max(percentile_figures["percentile_errors"].values()),
         "percentile_error_nominal_max": max(percentile_figures["percentile_errors_nominal"].values()),
