--- a/tests/benchmarks/test_short_runs.py
+++ b/tests/benchmarks/test_short_runs.py
@@ -1,6 +1,7 @@
 """Programs of `benchmarks/` run in a short form to the JSON object of their last line."""
 
 import json
+import os
 import subprocess
 import sys
 from pathlib import Path
@@ -22,6 +23,7 @@
     played = subprocess.run(
         [sys.executable, "-B", str(ROOT / "benchmarks" / f"{name}.py"), *SHORT_FORMS[name]],
         cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": str(ROOT)},
         capture_output=True,
         text=True,
         check=False,
