--- a/tests/rollout/test_release_processes.py
+++ b/tests/rollout/test_release_processes.py
@@ -114,6 +114,9 @@
             await running.begin("v2", plan_id="x" * 32, policy=POLICY)  # begun here and found by the command
             plan = (await running.known()).plan("x" * 32)
             assert plan is not None
+            assert plan.state != "over"
+            # On a busy machine the command starts so slowly that the leader would finish the plan meanwhile.
+            running.ground.signal(plan.leader, signal.SIGSTOP, "it leads")
             command = await running.run_command("release", "status", "--watch")
             running.ground.signal(plan.leader, signal.SIGKILL, "it leads")
             running.ground.agent_processes[int(plan.leader[6:])].is_held_down = True
