Don't count a limiter's wait for a core against it in the soak

Hypotheses: the soak's new disruption, a fault of the limiter, a machine without a free core. A wrong value with the old soak fits a copy that the held-up soak sent later than servers do; copies after 18 ms, or over a command that is not read yet, are not sent.

--- a/elderlock/soak/__main__.py
+++ b/elderlock/soak/__main__.py
@@ -27,10 +27,13 @@
     parser.add_argument("--seconds", type=float, default=DEFAULT_DURATION_S)
     parser.add_argument("--limiters", type=int, default=DEFAULT_LIMITERS)
     parser.add_argument("--program-directory", type=Path, default=ROOT, help="the checkout whose limiter is run")
+    parser.add_argument("--log-directory", type=Path, help="where the limiters' logs stay; by default they are deleted")
     parsed = parser.parse_args(arguments)
     if parsed.seconds <= 0 or parsed.limiters < 1:
         parser.error("--seconds has to be above 0 and --limiters at least 1")
-    return SoakOptions(parsed.seed, parsed.seconds, parsed.limiters, parsed.program_directory.resolve())
+    return SoakOptions(
+        parsed.seed, parsed.seconds, parsed.limiters, parsed.program_directory.resolve(), parsed.log_directory
+    )
 
 
 def print_report(options: SoakOptions, report: SoakReport) -> None:
--- a/elderlock/soak/clients.py
+++ b/elderlock/soak/clients.py
@@ -9,6 +9,7 @@
 import struct
 import termios
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Any
 
 import hiredis
@@ -42,10 +43,24 @@
 CONNECT_RETRY_S = 0.05
 
 
+@dataclass(frozen=True, slots=True)
+class Destination:
+    """A limiter that clients connect to."""
+
+    name: str
+    host: str
+    port: int
+
+
 class Connection:
-    """A client's connection to a limiter; answers come in the order of the commands."""
+    """A client's connection to a limiter; answers come in the order of the commands.
+
+    Attributes:
+        limiter: The limiter's name.
+    """
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, limiter: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.limiter = limiter
         self._reader = reader
         self._writer = writer
         self._parser = hiredis.Reader(notEnoughData=MISSING)
@@ -86,12 +101,12 @@
 
     def __init__(
         self,
-        choose_address: Callable[[], tuple[str, int]],
+        choose_destination: Callable[[], Destination],
         verdicts: Verdicts,
         clock: JudgingClock,
         rng: random.Random,
     ) -> None:
-        self._choose_address = choose_address
+        self._choose_destination = choose_destination
         self._clock = clock
         self._verdicts = verdicts
         self._rng = rng
@@ -122,18 +137,19 @@
     async def _connect(self) -> Connection:
         while True:
             try:
-                return Connection(*await asyncio.open_connection(*self._choose_address()))
+                to = self._choose_destination()
+                return Connection(to.name, *await asyncio.open_connection(to.host, to.port))
             except OSError:
                 await asyncio.sleep(CONNECT_RETRY_S)
 
-    def _new_requests(self, count: int) -> tuple[bytes, list[Request]]:
+    def _new_requests(self, limiter: str, count: int) -> tuple[bytes, list[Request]]:
         commands = []
         requests = []
         deadline_s = self._clock.now_s() + DEADLINE_S
         for _ in range(count):
             request_class = self._rng.choice(CLASSES)
             request_id = b"q%d" % next(self._numbers)
-            request = Request(request_id, IDEMPOTENCY_BY_CLASS[request_class], deadline_s)
+            request = Request(request_id, limiter, IDEMPOTENCY_BY_CLASS[request_class], deadline_s)
             requests.append(self._verdicts.add(request))
             commands.append(self._encode(request_id, request_class))
         return b"".join(commands), requests
@@ -147,7 +163,7 @@
 
     async def _exchange(self, connection: Connection, count: int) -> bool:
         """Send requests and read their answers; return whether the connection is still open."""
-        commands, requests = self._new_requests(count)
+        commands, requests = self._new_requests(connection.limiter, count)
         sending = asyncio.create_task(self._send(connection, commands, requests))
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -179,7 +195,7 @@
 
     async def _send_and_leave(self, connection: Connection) -> None:
         """Send many commands and close before all answers have come; what is sent afterwards is no request."""
-        commands, requests = self._new_requests(self._rng.randint(*COMMANDS_AT_ONCE))
+        commands, requests = self._new_requests(connection.limiter, self._rng.randint(*COMMANDS_AT_ONCE))
         sending = asyncio.create_task(connection.send(commands))
         await asyncio.sleep(self._rng.uniform(*LEAVES_AFTER_S))
         sending.cancel()
--- a/elderlock/soak/processes.py
+++ b/elderlock/soak/processes.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from elderlock.soak.clients import DEADLINE_S
+from elderlock.soak.clients import DEADLINE_S, Destination
 from elderlock.soak.verdicts import DEDUPLICATION_WINDOW_S
 from elderlock.spawning import spawn
 from elderlock.standins.settings import raw_config
@@ -33,7 +33,7 @@
 
     Attributes:
         name: Its name.
-        address: The host and port for clients.
+        destination: Where clients connect to.
         is_serving: Whether new connections are opened to it.
     """
 
@@ -49,7 +49,7 @@
         self.name = name
         listen = free_address("127.0.0.1")
         host, _, port = listen.rpartition(":")
-        self.address = (host, int(port))
+        self.destination = Destination(name, host, int(port))
         self.is_serving = False
         self._config_path = folder / f"{name}.json"
         self._config_path.write_text(json.dumps(_config(name, listen, discovery)), encoding="utf-8")
@@ -81,7 +81,7 @@
 
     async def _is_ready(self) -> bool:
         with contextlib.suppress(OSError):
-            reader, writer = await asyncio.open_connection(*self.address)
+            reader, writer = await asyncio.open_connection(self.destination.host, self.destination.port)
             writer.write(PING)
             line = await reader.readline()
             writer.close()
@@ -109,6 +109,11 @@
         """Kill the process, stopped or not."""
         self.send_signal(signal.SIGKILL)
 
+    def pid(self) -> int | None:
+        """Return the pid of the process, or None if it does not run."""
+        is_running = self._process is not None and self._process.returncode is None
+        return self._process.pid if self._process is not None and is_running else None
+
     def exit_code(self) -> int | None:
         """Return the exit code of the process, or None while it runs."""
         return None if self._process is None else self._process.returncode
--- a/elderlock/soak/run.py
+++ b/elderlock/soak/run.py
@@ -6,11 +6,14 @@
 import random
 import tempfile
 from collections import Counter
+from collections.abc import Coroutine
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
-from elderlock.soak.clients import SoakClients
+from elderlock.soak.clients import Destination, SoakClients
 from elderlock.soak.clock import JudgingClock
+from elderlock.soak.core_waits import CoreWaits
 from elderlock.soak.disruptions import Disruptions
 from elderlock.soak.processes import LimiterProcess
 from elderlock.soak.servers import ServerFaults, SoakServer
@@ -34,12 +37,14 @@
         duration_s: How long it lasts after all limiters are ready.
         limiter_count: The number of limiter processes.
         program_directory: The checkout whose limiter is run.
+        log_directory: Where the limiters' configurations and logs stay; None to delete them.
     """
 
     seed: int
     duration_s: float
     limiter_count: int = 3
     program_directory: Path = ROOT
+    log_directory: Path | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,44 +91,55 @@
         await server.start()
     targets = [target(f"s-{server.index}", server.endpoint) for server in servers]
     discovery = await Discovery(rows=lambda _port: targets).start()
-    with tempfile.TemporaryDirectory() as folder:
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = options.log_directory or Path(temporary)
+        folder.mkdir(parents=True, exist_ok=True)
         limiters = [
-            LimiterProcess(f"n{index}", "%s:%d" % discovery.address, Path(folder), options.program_directory)
+            LimiterProcess(f"n{index}", "%s:%d" % discovery.address, folder, options.program_directory)
             for index in range(options.limiter_count)
         ]
 
-        def choose_address() -> tuple[str, int]:
+        def choose_destination() -> Destination:
             serving = [limiter for limiter in limiters if limiter.is_serving]
-            return rng.choice(serving or limiters).address
+            return rng.choice(serving or limiters).destination
 
-        clients = SoakClients(choose_address, verdicts, clock, rng)
+        def pids() -> dict[str, int]:
+            return {limiter.name: pid for limiter in limiters if (pid := limiter.pid()) is not None}
+
+        core_waits = CoreWaits(clock, pids)
+        verdicts.core_wait_s = core_waits.waited_s
+        clients = SoakClients(choose_destination, verdicts, clock, rng)
         disruptions = Disruptions(limiters, servers, faults, verdicts, clock, rng)
         try:
             await asyncio.gather(*(limiter.start() for limiter in limiters))
-            return await _play(options, limiters, clients, disruptions, verdicts, clock)
+            background = [clock.run(), core_waits.run(), disruptions.run()]
+            await _play(options, background, clients)
+            return _report(limiters, clients, disruptions, verdicts, clock)
         finally:
             for limiter in limiters:
                 limiter.kill()
             await discovery.close()
 
 
-async def _play(
-    options: SoakOptions,
-    limiters: list[LimiterProcess],
-    clients: SoakClients,
-    disruptions: Disruptions,
-    verdicts: Verdicts,
-    clock: JudgingClock,
-) -> SoakReport:
+async def _play(options: SoakOptions, background: list[Coroutine[Any, Any, None]], clients: SoakClients) -> None:
     work = [clients.send_one_by_one() for _ in range(USUAL_CLIENTS * options.limiter_count)]
     work += [clients.send_at_once() for _ in range(PIPELINING_CLIENTS * options.limiter_count)]
-    tasks = [asyncio.create_task(each) for each in [clock.run(), *work, disruptions.run()]]
+    tasks = [asyncio.create_task(each) for each in [*background, *work]]
     done, _ = await asyncio.wait(tasks, timeout=options.duration_s, return_when=asyncio.FIRST_EXCEPTION)
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     for task in done:
         task.result()  # raises what ended it
+
+
+def _report(
+    limiters: list[LimiterProcess],
+    clients: SoakClients,
+    disruptions: Disruptions,
+    verdicts: Verdicts,
+    clock: JudgingClock,
+) -> SoakReport:
     for limiter in limiters:
         exit_code = limiter.exit_code()
         if limiter.is_serving and exit_code is not None:
--- a/elderlock/soak/servers.py
+++ b/elderlock/soak/servers.py
@@ -4,17 +4,21 @@
 
 import asyncio
 import random
+import time
 from dataclasses import dataclass
 from typing import cast
 
 import hiredis
 
+from elderlock.net.unread_input import UnreadInput
 from elderlock.soak.clock import JudgingClock
 from elderlock.soak.verdicts import Verdicts, value_of
 from elderlock.standins.servers import MISSING, served
 
 MEAN_WORK_S = 0.06
 COPY_DELAY_S = (0.004, 0.015)
+# A copy that this process would send later, as it was held up, is not sent: servers send none so late.
+MAX_COPY_DELAY_S = 0.018
 COPY_FRACTION = 0.5
 
 
@@ -82,8 +86,23 @@
         answer = served(value_of(request_id))
         connection.write(answer)
         if self._faults.sends_copies and self._rng.random() < COPY_FRACTION:
-            delay_s = self._rng.uniform(*COPY_DELAY_S)
-            asyncio.get_running_loop().call_later(delay_s, connection.write_copy, answer, connection.command_count)
+            copy = _Copy(answer, connection.command_count, time.monotonic() + MAX_COPY_DELAY_S)
+            asyncio.get_running_loop().call_later(self._rng.uniform(*COPY_DELAY_S), connection.write_copy, copy)
+
+
+@dataclass(frozen=True, slots=True)
+class _Copy:
+    """A second copy of an answer that is about to be sent.
+
+    Attributes:
+        answer: The answer.
+        command_count: The number of commands that its connection had brought.
+        latest_at_s: The monotonic time after which it is not sent.
+    """
+
+    answer: bytes
+    command_count: int
+    latest_at_s: float
 
 
 class _ServerConnection(asyncio.Protocol):
@@ -122,7 +141,10 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(answer)
 
-    def write_copy(self, answer: bytes, command_count: int) -> None:
-        """Write a second copy of an answer, if no other command has come since."""
-        if self.command_count == command_count:
-            self.write(answer)
+    def write_copy(self, copy: _Copy) -> None:
+        """Write a second copy of an answer, if it is in time and no other command has come since, read or not."""
+        transport = self._transport
+        if transport is None or transport.is_closing() or self.command_count != copy.command_count:
+            return
+        if not UnreadInput(transport).is_waiting() and time.monotonic() < copy.latest_at_s:
+            self.write(copy.answer)
--- a/elderlock/soak/verdicts.py
+++ b/elderlock/soak/verdicts.py
@@ -2,11 +2,13 @@
 
 A close by the limiter that crosses a request which it has not read is excused, as its client sends it once more. What
 the limiter's machine had acknowledged for `READ_AFTER_S` before the close counts as read: without an answer it is lost,
-on a new connection too. All times are seconds of one clock.
+on a new connection too. All times are seconds of one clock. Time in which the limiter waited for a core is not counted
+against it.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -56,6 +58,7 @@
 
     Attributes:
         request_id: Its id.
+        limiter: The name of the limiter that it is sent to.
         idempotency: The effect of a repeat.
         deadline_s: Until when its client waits.
         acknowledged_at_s: Since when the limiter's machine is known to have all of it; None if that is not known.
@@ -66,6 +69,7 @@
     """
 
     request_id: bytes
+    limiter: str
     idempotency: Idempotency
     deadline_s: float
     acknowledged_at_s: float | None = None
@@ -75,16 +79,22 @@
     first_begun_at_s: float | None = None
 
 
+def _never_waited(_limiter: str, _since_s: float) -> float:
+    return 0.0
+
+
 @dataclass(slots=True)
 class Verdicts:
     """Collects the violations of a soak.
 
     Attributes:
+        core_wait_s: Returns how many seconds a limiter has waited for a core since a time.
         requests: All requests by id.
         violations: The broken rules, in the order in which they were seen.
         crossed: The number of requests that the close of their connection crossed.
     """
 
+    core_wait_s: Callable[[str, float], float] = _never_waited
     requests: dict[bytes, Request] = field(default_factory=dict)
     violations: list[Violation] = field(default_factory=list)
     crossed: int = 0
@@ -103,17 +113,18 @@
         request.is_answered = True
         if value is not None and value != value_of(request.request_id):
             self.report(Rule.WRONG_VALUE, now_s, f"{request.request_id!r} got {value[:60]!r}")
-        if now_s > request.deadline_s + ANSWER_AFTER_DEADLINE_S:
+        late_s = now_s - request.deadline_s
+        if late_s > ANSWER_AFTER_DEADLINE_S + self._waited_s(request, request.deadline_s):
             self.report(Rule.LOST, now_s, f"{request.request_id!r} was answered too late")
 
     def closed_by_limiter(self, request: Request, now_s: float) -> None:
         """Judge an unanswered request whose connection the limiter has closed."""
         request.is_answered = True
         acknowledged_at_s = request.acknowledged_at_s
-        if acknowledged_at_s is None or now_s - acknowledged_at_s < READ_AFTER_S:
+        held_s = 0.0 if acknowledged_at_s is None else now_s - acknowledged_at_s
+        if acknowledged_at_s is None or held_s < READ_AFTER_S + self._waited_s(request, acknowledged_at_s):
             self.crossed += 1
             return
-        held_s = now_s - acknowledged_at_s
         text = f"{request.request_id!r} has no answer, the limiter's machine had it for {held_s:.2f} s before the close"
         self.report(Rule.LOST, now_s, text)
 
@@ -136,10 +147,15 @@
             request.first_begun_at_s = now_s
         else:
             self._judge_repeat(request, now_s - request.first_begun_at_s, now_s)
-        if request.closed_at_s is not None and now_s - request.closed_at_s > ATTEMPT_AFTER_CLOSE_S:
-            late_s = now_s - request.closed_at_s
+        if request.closed_at_s is None:
+            return
+        late_s = now_s - request.closed_at_s
+        if late_s > ATTEMPT_AFTER_CLOSE_S + self._waited_s(request, request.closed_at_s):
             self.report(Rule.ATTEMPT_AFTER_CLOSE, now_s, f"{request_id!r} was begun {late_s:.2f} s after the close")
 
+    def _waited_s(self, request: Request, since_s: float) -> float:
+        return self.core_wait_s(request.limiter, since_s)
+
     def _judge_repeat(self, request: Request, since_first_s: float, now_s: float) -> None:
         if request.idempotency is Idempotency.NOT_IDEMPOTENT:
             self.report(Rule.RUN_TWICE, now_s, f"{request.request_id!r} was begun {request.begun} times")
