Share two pieces of test setup that stood twice

The same assertions and waits, moved: what a client's end has to leave behind (test_excess_input), and a configuration with a short deadline (test_endings, test_shutdown_commands).

--- a/tests/programs.py
+++ b/tests/programs.py
@@ -28,6 +28,14 @@
         return port
 
 
+def raw_config_with_deadline(listen: str, discovery: str, deadline_ms: float) -> dict[str, Any]:
+    """Return a configuration whose classes all have this deadline, and an objective that no answer misses."""
+    raw = raw_config(listen, discovery)
+    for service in raw["settings"]["services"]:
+        service.update({"deadline": deadline_ms, "goal-time": 20000.0})
+    return raw
+
+
 async def start_program(path: Path, raw: dict[str, Any]) -> asyncio.subprocess.Process:
     """Write a configuration and start `python -m elderlock` with it."""
     path.write_text(json.dumps(raw))
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -16,7 +16,7 @@
 
 import hiredis
 import pytest
-from programs import connect_when_ready, free_port, record_outcomes, start_program
+from programs import connect_when_ready, free_port, raw_config_with_deadline, record_outcomes, start_program
 
 from elderlock.interface import Outcome
 from elderlock.net.client_connection import MAX_CONSECUTIVE_ERRORS, MAX_PENDING_ANSWERS, ClientConnection
@@ -308,9 +308,7 @@
         server = await Server(answers(None)).start()
         agent = await Discovery({"rev": 1, "all": True, "targets": [target("s", server.endpoint)]}).start()
         port = free_port()
-        raw = raw_config(f"127.0.0.1:{port}", "%s:%d" % agent.address)
-        for service in raw["settings"]["services"]:
-            service.update({"deadline": 400.0, "goal-time": 20000.0})
+        raw = raw_config_with_deadline(f"127.0.0.1:{port}", "%s:%d" % agent.address, deadline_ms=400.0)
         process = await start_program(tmp_path / "config.json", raw)
         client = await connect_when_ready(port)
         client.read("open", d=20000)
--- a/tests/test_excess_input.py
+++ b/tests/test_excess_input.py
@@ -27,6 +27,15 @@
         client.send("API.WRITE", CUSTOMER, f"behind-{number}", terms(c="pay"), "x" * BODY_BYTES)
 
 
+async def expect_only_the_first_request(limiter: Limiter, server: Server, outcomes: list[Outcome]) -> None:
+    """Wait until the client's end is detected: its first request is cancelled, and no other is forwarded."""
+    await until(lambda: server.lost == 1 and not len(limiter.clients))
+    assert outcomes == [Outcome.CANCELLED]  # cancelled before its timeout
+    assert [command[2] for command in server.commands] == [b"first"]
+    assert limiter.gateway.open_request_count == 0
+    assert limiter.clients.excess_input.used_bytes == 0
+
+
 def test_disconnect_is_detected_behind_more_bytes_than_a_connection_may_hold() -> None:
     """Guards against: attempts begin for a client that has gone, as its connection is not read while much waits on it."""
 
@@ -39,11 +48,7 @@
         send_writes(client)
         await until(lambda: len(server.commands) == 1)
         client.writer.close()
-        await until(lambda: server.lost == 1 and not len(limiter.clients))
-        assert outcomes == [Outcome.CANCELLED]  # cancelled before its timeout
-        assert [command[2] for command in server.commands] == [b"first"]
-        assert limiter.gateway.open_request_count == 0
-        assert limiter.clients.excess_input.used_bytes == 0
+        await expect_only_the_first_request(limiter, server, outcomes)
 
     run(test())
 
@@ -67,11 +72,7 @@
             reset(client.writer)
         else:
             client.writer.close()
-        await until(lambda: server.lost == 1 and not len(limiter.clients))
-        assert outcomes == [Outcome.CANCELLED]  # cancelled before its timeout
-        assert [command[2] for command in server.commands] == [b"first"]
-        assert limiter.gateway.open_request_count == 0
-        assert limiter.clients.excess_input.used_bytes == 0
+        await expect_only_the_first_request(limiter, server, outcomes)
 
     run(test())
 
--- a/tests/test_shutdown_commands.py
+++ b/tests/test_shutdown_commands.py
@@ -17,7 +17,7 @@
     send_up_to_pending_limit,
     unacknowledged_bytes,
 )
-from programs import connect_when_ready, free_port, start_program
+from programs import connect_when_ready, free_port, raw_config_with_deadline, start_program
 from test_endings import connection_of
 
 from elderlock.net import client_connection, client_listener
@@ -108,9 +108,7 @@
         server = await Server(answers(None)).start()
         agent = await Discovery({"rev": 1, "all": True, "targets": [target("s", server.endpoint)]}).start()
         port = free_port()
-        raw = raw_config(f"127.0.0.1:{port}", "%s:%d" % agent.address)
-        for service in raw["settings"]["services"]:
-            service.update({"deadline": 400.0, "goal-time": 20000.0})
+        raw = raw_config_with_deadline(f"127.0.0.1:{port}", "%s:%d" % agent.address, deadline_ms=400.0)
         process = await start_program(tmp_path / "config.json", raw)
         client = await connect_when_ready(port)
         send_up_to_pending_limit(client)
