--- a/review/8/case.py
+++ b/review/8/case.py
@@ -32,7 +32,7 @@
     def __init__(self, record: rig.Record, connections: list[rig.Connection]) -> None:
         self._record = record
         self._connections = connections
-        self._choice = random.Random(1)
+        self._choice = random.Random(rig.SEED)
         self._readers = [asyncio.create_task(self._read(index)) for index in range(len(connections))]
         self.pending = [0] * len(connections)
         self.sent = 0
