--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,11 +1,9 @@
-"""Case 7: bad clients send hundreds of commands at once, and the same again as soon as they are turned away."""
+"""Case 7: a bad client sends the id of another client's open request, of a class that is unsafe to repeat."""
 
 from __future__ import annotations
 
 import asyncio
-import os
 import sys
-import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -13,91 +11,52 @@
 
 import standins2 as rig  # noqa: E402
 
-BAD_PROCESSES = 2
-BAD_CLIENTS = 50  # in each process
-COMMANDS_AT_ONCE = 300
-FLOOD_S = 10.0
-USUAL_CLIENTS = 5
-WAIT_MS = 2000
-LATE_S = 0.5  # an answer that comes later than this after the client's wait is lost
-LAG_LIMIT_S = 0.2
-
-
-async def measure_lag(lags_s: list[float]) -> None:
-    """Measure how late this process itself is."""
-    while True:
-        started_s = time.monotonic()
-        await asyncio.sleep(0.01)
-        lags_s.append(time.monotonic() - started_s - 0.01)
-
-
-async def start_floods(port: int) -> list[asyncio.subprocess.Process]:
-    """Start the processes of the bad clients."""
-    arguments = [str(port), str(BAD_CLIENTS), str(COMMANDS_AT_ONCE), str(FLOOD_S - 1.0)]
-    return [
-        await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-B",
-            str(HERE / "flood.py"),
-            *arguments,
-            f"b{process}",
-            env={**os.environ, "PYTHONPATH": str(HERE.parent)},
-            stdout=asyncio.subprocess.PIPE,
-        )
-        for process in range(BAD_PROCESSES)
-    ]
+USUAL, BAD = f"{1:016x}", f"{2:016x}"
+COMMANDS = 6
+SLOW_S = 1.0
+QUICK_S = 0.1
+BAD_AFTER_S = 0.5
 
 
 async def case(record: rig.Record, folder: Path) -> bool:
-    """Return whether each request of the usual clients got its answer in time."""
+    """Return whether each id ran at most once and the bad client got no value."""
 
     async def work(request: rig.Request) -> bytes:
-        await asyncio.sleep(0.1)
-        return rig.answer_with(request.request_id.encode())
+        await asyncio.sleep(SLOW_S if request.request_id == "r0" else QUICK_S)
+        return rig.answer_with(f"{request.request_id} for {request.customer}".encode())
 
     servers = [await rig.Server(f"s-{number}", record, work).start() for number in range(3)]
     discovery = await rig.Discovery(record, [server.target() for server in servers]).start()
     settings = rig.settings()
-    settings["plans"].append({**settings["plans"][0], "name": "basic", "quota-rate": 0.84, "burst": 4.0})
-    took_s: list[float] = []
-    lags_s: list[float] = []
-
-    async def usual_client(port: int, client: int) -> None:
-        connection = await rig.Connection.open(port)
-        ends_s = time.monotonic() + FLOOD_S
-        number = 0
-        while time.monotonic() < ends_s:
-            number += 1
-            request_id = f"u{client}-{number}"
-            started_s = time.monotonic()
-            connection.send("API.READ", f"{client + 10:016x}", request_id, rig.terms(d=WAIT_MS))
-            record.write(f"sent {request_id}")
-            answer = await connection.answer(60.0)
-            took_s.append(time.monotonic() - started_s)
-            record.write(f"answered {request_id} after {took_s[-1]:.3f} s: {answer!r}")
-            await asyncio.sleep(0.2)
-
+    settings["services"].append({**settings["services"][0], "name": "ticket-change", "effect": "single_shot"})
+    change = rig.terms(c="ticket-change")
     async with rig.limiter(record, folder, discovery.address, settings=settings) as limiter:
         if await limiter.wait_until_ready() is None:
             raise rig.CannotRunError("the limiter isn't ready")
-        lag = asyncio.create_task(measure_lag(lags_s))
-        floods = await start_floods(limiter.port) if rig.HAS_TROUBLE else []
-        await asyncio.gather(*(usual_client(limiter.port, client) for client in range(USUAL_CLIENTS)))
-        lag.cancel()
-        for flood in floods:
-            output, _ = await flood.communicate()
-            record.say(f"bad clients got {int(output)} answers")
-    if max(lags_s) > LAG_LIMIT_S:
-        raise rig.CannotRunError(f"the clients themselves were late by {max(lags_s):.2f} s")
-    limit_s = WAIT_MS / 1000.0 + LATE_S
-    lost = [seconds for seconds in took_s if seconds > limit_s]
-    record.say(
-        f"{len(took_s)} requests of usual clients, {len(lost)} answered later than {limit_s} s after they were sent"
-    )
-    record.say(
-        f"the latest answer came after {max(took_s):.2f} s; the clients were late by {max(lags_s):.3f} s at most"
-    )
-    return not lost
+        usual = await rig.Connection.open(limiter.port)
+        bad = await rig.Connection.open(limiter.port)
+        for number in range(COMMANDS):
+            usual.send("API.WRITE", USUAL, f"r{number}", change, "body")
+        await asyncio.sleep(BAD_AFTER_S)
+        bad_answer = None
+        if rig.HAS_TROUBLE:
+            record.say("the bad client sends r1, the usual client's open request")
+            bad.send("API.WRITE", BAD, "r1", change, "other")
+            bad_answer = await bad.answer()
+            record.say(f"the bad client got {bad_answer!r}")
+        for number in range(COMMANDS):
+            record.write(f"the usual client got {await usual.answer()!r} for r{number}")
+    held = not isinstance(bad_answer, bytes)
+    for number in range(COMMANDS):
+        runs = [
+            (server.uid, request.customer)
+            for server in servers
+            for request in server.requests
+            if request.request_id == f"r{number}"
+        ]
+        record.say(f"r{number} ran {len(runs)} times: {runs}")
+        held = held and len(runs) <= 1
+    return held
 
 
 rig.run_case(HERE, case)
--- a/review/7/flood.py
+++ b/review/8/flood.py
@@ -1,4 +1,4 @@
-"""Bad clients of case 7: each sends hundreds of commands at once, and the same again as soon as it is turned away."""
+"""Bad clients of case 8: each sends hundreds of commands at once, and the same again as soon as it is turned away."""
 
 from __future__ import annotations
 
