--- a/review/8/case.py
+++ b/review/8/case.py
@@ -82,11 +82,16 @@
             raise rig.CannotRunError("the limiter isn't ready")
         lag = asyncio.create_task(measure_lag(lags_s))
         floods = await start_floods(limiter.port) if rig.HAS_TROUBLE else []
-        await asyncio.gather(*(usual_client(limiter.port, client) for client in range(USUAL_CLIENTS)))
-        lag.cancel()
-        for flood in floods:
-            output, _ = await flood.communicate()
-            record.say(f"bad clients got {int(output)} answers")
+        try:
+            await asyncio.gather(*(usual_client(limiter.port, client) for client in range(USUAL_CLIENTS)))
+            lag.cancel()
+            for flood in floods:
+                output, _ = await flood.communicate()
+                record.say(f"bad clients got {int(output)} answers")
+        finally:
+            for flood in floods:
+                if flood.returncode is None:
+                    flood.kill()
     if max(lags_s) > LAG_LIMIT_S:
         raise rig.CannotRunError(f"the clients themselves were late by {max(lags_s):.2f} s")
     limit_s = WAIT_MS / 1000.0 + LATE_S
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -532,12 +532,17 @@
         with tempfile.TemporaryDirectory() as temporary:
 
             async def limited() -> bool:
+                task = asyncio.current_task()
+                assert task is not None
+                asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)  # ends what was started
                 async with asyncio.timeout(limit_s):
                     return await case(record, Path(temporary))
 
             status = HELD if asyncio.run(limited()) else BROKEN
     except CannotRunError as error:
         record.say(f"can't run: {error}")
+    except asyncio.CancelledError:
+        record.say("can't run: it was told to end")
     except Exception:  # noqa: BLE001 - whatever it is, the case has not run
         record.say(f"can't run: {traceback.format_exc()}")
     record.say({HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "the case couldn't run"}[status])
