Hold a request's id from its reading until its answer has left on its connection

Cause: the open ids were the gateway's, which knows a request from its acceptance to its answer. For its client it is open from its last byte until the answer comes, which may be held back behind others; and a command may wait on its connection behind 64 pending answers. Change: RequestIds counts the holders of an id. CommandQueue parses commands as they are read, and each holds its id until its answer is written; an accepted request holds it until none of its attempts is open. The fault tests' mutant that kept ids keeps a request now, and the simulation's check for leftovers looks at the held ids too.

--- a/elderlock/net/authorised_requests.py
+++ b/elderlock/net/authorised_requests.py
@@ -93,7 +93,6 @@
         if authorisation.expiry_timer is not None:
             authorisation.expiry_timer.cancel()
             authorisation.expiry_timer = None
-        self._requests.client_ids.discard(request.command.client_request_id)
         request.open_attempts = 0
         self._requests.remove_if_finished(request)
         self._submit(api.AttemptEnded(request.request_id, 0, authorisation.server_id, outcome, duration_ms, True))
--- a/elderlock/net/client_connection.py
+++ b/elderlock/net/client_connection.py
@@ -11,28 +11,28 @@
 from typing import cast
 
 from elderlock.net.client_commands import ARGUMENT_COUNTS, CommandError
+from elderlock.net.command_queue import CommandQueue, WaitingCommand
 from elderlock.net.connection_owner import CloseReason, ConnectionOwner
 from elderlock.net.end_poller import EndPoller
-from elderlock.net.resp import CommandReader, ProtocolError
 from elderlock.net.unread_input import UnreadInput
 
 PING_VERB = b"PING"
 PONG_ANSWER = b"+PONG\r\n"
 NO_LIST_ANSWER = b"-LOADING no list of servers yet\r\n"
 CORDONED_ANSWER = b"-LOADING drained by an operator\r\n"
+DUPLICATE_ANSWER = b"-ERR a request of this id is open\r\n"
 # With this many pending answers on a connection, no further command from it is handled.
 MAX_PENDING_ANSWERS = 64
 # Bytes of unhandled commands that each connection may hold; further ones count against the limit of all connections.
 # Two commands of the maximum size fit.
 MAX_UNREAD_BYTES = 1 << 17
-# Arrival times recorded for unhandled bytes. At the limit, new bytes get the last recorded arrival time.
-MAX_ARRIVAL_TIMES = 64
 # Consecutive errors after which a connection is closed.
 MAX_CONSECUTIVE_ERRORS = 16
 # How long a client has to read its last answer and to close its side.
 LINGER_S = 0.5
 # Bytes that are read and discarded within that time before the connection is aborted.
 MAX_DISCARDED_BYTES = 1 << 18
+MS_PER_S = 1000.0
 # The time that a command is queued on its connection is subtracted from its client's wait; a shorter time is ignored.
 MIN_COUNTED_WAIT_MS = 1.0
 
@@ -52,13 +52,15 @@
 
     Attributes:
         answer: The encoded answer; None until the command is answered.
+        held_id: The client's request id, held until the answer leaves; None for other commands.
         request_id: The gateway's id of the request; None for other commands.
     """
 
-    __slots__ = ("answer", "request_id")
+    __slots__ = ("answer", "held_id", "request_id")
 
-    def __init__(self, answer: bytes | None = None) -> None:
+    def __init__(self, answer: bytes | None = None, held_id: bytes | None = None) -> None:
         self.answer = answer
+        self.held_id = held_id
         self.request_id: str | None = None
 
 
@@ -76,20 +78,18 @@
 
     def __init__(self, listener: ConnectionOwner) -> None:
         self._listener = listener
-        self._reader = CommandReader()
+        self._request_ids = listener.gateway.requests.ids
+        self._commands = CommandQueue(self._request_ids)
         self._transport: asyncio.Transport | None = None
         self._pending_answers: deque[PendingAnswer] = deque()
         self._state = ConnectionState.OPEN
-        self._is_reading = False
-        self._is_read_scheduled = False
+        self._is_handling = False
+        self._is_handling_scheduled = False
         self._is_read_paused = False
         self._is_write_blocked = False
         self._consecutive_errors = 0
         self._discarded_bytes = 0
-        self._fed_bytes = 0
         self._excess_bytes = 0
-        # For unhandled bytes: the total number of bytes fed including them, and the loop time (s) of their arrival.
-        self._arrival_times: deque[tuple[int, float]] = deque()
         self._linger_timer: asyncio.TimerHandle | None = None
         self._end_poller = EndPoller(listener.loop, self.eof_received)
         self.has_sent_command = False
@@ -134,13 +134,10 @@
                 self.abort()
             return
         now_s = self._listener.loop.time()
-        if not self._reader.pending_bytes():
+        if not self.unhandled_bytes():
             self.waiting_since_s = now_s
-        self._reader.feed(self._listener.receive_buffer[:nbytes])
-        self._fed_bytes += nbytes
-        arrived_at_s = now_s if len(self._arrival_times) < MAX_ARRIVAL_TIMES else self._arrival_times.pop()[1]
-        self._arrival_times.append((self._fed_bytes, arrived_at_s))
-        self._read_commands()
+        self._commands.feed(self._listener.receive_buffer[:nbytes], now_s)
+        self._handle_commands()
 
     def pause_writing(self) -> None:
         """Stop handling commands while the client does not read its answers."""
@@ -152,7 +149,7 @@
         """Resume handling commands."""
         self._is_write_blocked = False
         self._update_reading()
-        self._schedule_read()
+        self._schedule_handling()
 
     # Commands
 
@@ -160,57 +157,49 @@
         """Whether no further command is handled until answers are sent."""
         return self._is_write_blocked or len(self._pending_answers) >= MAX_PENDING_ANSWERS
 
-    def _read_commands(self) -> None:
-        """Handle complete commands while few enough answers are pending; the others stay in the reader."""
-        self._is_read_scheduled = False
-        self._is_reading = True
+    def _handle_commands(self) -> None:
+        """Handle waiting commands while few enough answers are pending."""
+        self._is_handling_scheduled = False
+        self._is_handling = True
         try:
-            while self._state is ConnectionState.OPEN and not self._has_too_many_pending():
-                parts = self._reader.next_message()
-                if parts is None:
-                    break
-                self._handle_command(parts, self._waited_ms())
-        except ProtocolError as error:
-            self.close_with_error(f"Protocol error: {error}")
+            while self._commands and self._state is ConnectionState.OPEN and not self._has_too_many_pending():
+                self._handle_command(self._commands.next_command())
         finally:
-            self._is_reading = False
+            self._is_handling = False
+        error = self._commands.error
+        if error is not None and not self._commands:
+            self.close_with_error(f"Protocol error: {error}")
         self._update_reading()
         self.close_if_done()
 
-    def _waited_ms(self) -> float:
-        """Return the time since the last byte of the command just read arrived.
-
-        The client's wait is counted from then, including the time that the command is queued behind others.
-        """
-        used_bytes = self._fed_bytes - self._reader.pending_bytes()
-        while self._arrival_times[0][0] < used_bytes:
-            self._arrival_times.popleft()
-        return (self._listener.loop.time() - self._arrival_times[0][1]) * 1000.0
-
-    def _handle_command(self, parts: list[bytes], waited_ms: float) -> None:
+    def _handle_command(self, command: WaitingCommand) -> None:
         self.has_sent_command = True
         self.waiting_since_s = self._listener.loop.time()
         self._listener.command_received(self)
-        verb = parts[0].upper()
-        pending = PendingAnswer()
+        pending = PendingAnswer(held_id=command.held_id)
         self._pending_answers.append(pending)
-        if verb in ARGUMENT_COUNTS:
-            self._handle_request(pending, parts, waited_ms)
-        elif verb == PING_VERB:
+        if command.verb in ARGUMENT_COUNTS:
+            self._handle_request(pending, command)
+        elif command.verb == PING_VERB:
             self._answer(pending, self._ping_answer())
         else:
             self._answer_error(pending, "unknown command")
 
-    def _handle_request(self, pending: PendingAnswer, parts: list[bytes], waited_ms: float) -> None:
+    def _handle_request(self, pending: PendingAnswer, waiting: WaitingCommand) -> None:
         try:
-            command = self._listener.parser.parse(parts)
-            if waited_ms >= MIN_COUNTED_WAIT_MS:
-                command = replace(command, wait_ms=command.wait_ms - waited_ms)
-            pending.request_id = self._listener.gateway.request_arrived(command, partial(self._answer, pending))
+            command = self._listener.parser.parse(waiting.arguments)
         except CommandError as error:
             self._answer_error(pending, str(error))
-        else:
-            self._consecutive_errors = 0
+            return
+        self._consecutive_errors = 0
+        if pending.held_id is None:
+            self._answer(pending, DUPLICATE_ANSWER)
+            return
+        # The client's wait is counted from the last byte of its command, and includes the time in the queue.
+        waited_ms = (self.waiting_since_s - waiting.arrived_at_s) * MS_PER_S
+        if waited_ms >= MIN_COUNTED_WAIT_MS:
+            command = replace(command, wait_ms=command.wait_ms - waited_ms)
+        pending.request_id = self._listener.gateway.request_arrived(command, partial(self._answer, pending))
 
     def _ping_answer(self) -> bytes:
         if self._listener.is_cordoned:
@@ -226,7 +215,7 @@
         has_too_many_pending = self._has_too_many_pending()
         if not has_too_many_pending and not self._excess_bytes and not self._is_read_paused:
             return
-        waiting_bytes = self._reader.pending_bytes()
+        waiting_bytes = self.unhandled_bytes()
         self._count_excess_bytes(max(0, waiting_bytes - MAX_UNREAD_BYTES))
         may_exceed = not self._listener.excess_input.is_full()
         pause = has_too_many_pending and waiting_bytes >= MAX_UNREAD_BYTES and not may_exceed
@@ -244,13 +233,17 @@
         self._listener.excess_input.resize(self._excess_bytes, excess_bytes)
         self._excess_bytes = excess_bytes
 
-    def _schedule_read(self) -> None:
-        """Handle commands that wait in the reader, in the loop's next step: this may run while one is being handled."""
-        if self._is_reading or self._state is not ConnectionState.OPEN or self._has_too_many_pending():
+    def _schedule_handling(self) -> None:
+        """Handle waiting commands in the loop's next step: this may run while one is being handled."""
+        if self._is_handling or self._state is not ConnectionState.OPEN or self._has_too_many_pending():
             return
-        if self._reader.pending_bytes() and not self._is_read_scheduled:
-            self._is_read_scheduled = True
-            self._listener.loop.call_soon(self._read_commands)
+        if self._has_work() and not self._is_handling_scheduled:
+            self._is_handling_scheduled = True
+            self._listener.loop.call_soon(self._handle_commands)
+
+    def _has_work(self) -> bool:
+        """Whether a complete command, or the error behind the last one, waits to be handled."""
+        return bool(self._commands) or self._commands.error is not None
 
     # Answers
 
@@ -271,10 +264,10 @@
         ready = []
         while self._pending_answers and (answer := self._pending_answers[0].answer) is not None:
             ready.append(answer)
-            self._pending_answers.popleft()
+            self._release_id(self._pending_answers.popleft())
         if ready and self._transport is not None:
             self._transport.write(b"".join(ready))
-        self._schedule_read()
+        self._schedule_handling()
         self.close_if_done()
 
     def _abandon_pending(self) -> None:
@@ -285,6 +278,13 @@
         for pending in abandoned:
             if pending.request_id is not None and pending.answer is None:
                 self._listener.gateway.client_disconnected(pending.request_id)
+            self._release_id(pending)
+        self._commands.clear()
+
+    def _release_id(self, pending: PendingAnswer) -> None:
+        if pending.held_id is not None:
+            self._request_ids.release(pending.held_id)
+            pending.held_id = None
 
     # Closing
 
@@ -305,7 +305,7 @@
         is_open = self._state is ConnectionState.OPEN
         if self._pending_answers or self._transport is None or (is_open and not self._listener.is_draining):
             return
-        if is_open and (self._is_reading or self._reader.pending_bytes() or self._has_unread_input()):
+        if is_open and (self._is_handling or self.unhandled_bytes() or self._has_unread_input()):
             return  # commands already received, completely or in part, are answered before a drain closes
         self.retire(CloseReason.DRAIN if is_open else CloseReason.ERROR)
 
@@ -336,9 +336,13 @@
 
     # For the listener
 
+    def unhandled_bytes(self) -> int:
+        """Return the received bytes that are not handled, at least 1 within a command."""
+        return self._commands.unhandled_bytes()
+
     def log_unanswered(self, reason: CloseReason) -> None:
         """Log what the client has sent and would get no answer for if the connection closed now."""
-        unhandled_bytes = self._reader.pending_bytes()
+        unhandled_bytes = self.unhandled_bytes()
         if self._pending_answers or unhandled_bytes:
             log.warning(
                 "client connection closes: %s, with %d unanswered commands and %d unhandled bytes",
@@ -349,12 +353,12 @@
 
     def is_answered(self) -> bool:
         """Whether no command is being handled, none waits for its answer, and all answers have been sent."""
-        is_handling = self._is_reading or bool(self._pending_answers)
+        is_handling = self._is_handling or bool(self._pending_answers)
         return not is_handling and self._state is ConnectionState.OPEN and self.is_flushed()
 
     def is_idle(self) -> bool:
         """Whether it is between requests: all are answered, and no part of a further one has arrived, read or not."""
-        return self.is_answered() and not self._reader.pending_bytes() and not self._has_unread_input()
+        return self.is_answered() and not self.unhandled_bytes() and not self._has_unread_input()
 
     def is_flushed(self) -> bool:
         """Whether all written answers have been sent; an abort would lose the others."""
@@ -375,6 +379,6 @@
 
     def _waits_for_command(self) -> bool:
         """Whether the connection waits for its first command or for the rest of a command."""
-        if self._is_read_scheduled:
-            return False  # complete commands wait in the reader
-        return not self.has_sent_command or bool(self._reader.pending_bytes())
+        if self._has_work():
+            return False
+        return not self.has_sent_command or self._commands.has_partial_command()
--- a/elderlock/net/gateway.py
+++ b/elderlock/net/gateway.py
@@ -107,7 +107,7 @@
     @property
     def open_request_count(self) -> int:
         """Number of unanswered requests, including permitted ones that have not ended."""
-        return len(self.requests.client_ids)
+        return self.requests.unfinished_count()
 
     def set_observer(self, observer: RequestObserver) -> None:
         """Set the observer, before `start` so that it sees each list."""
@@ -165,10 +165,10 @@
     # Requests
 
     def request_arrived(self, command: Command, reply: Callable[[bytes], None]) -> str | None:
-        """Accept a request, unless a request with the same client id is still open: it gets an error.
+        """Accept a request.
 
         Args:
-            command: The request.
+            command: The request. The caller holds its client's id in `requests.ids` until the answer has left.
             reply: Called at most once with the encoded answer, possibly before this returns; not called for a client
                 that has disconnected.
 
@@ -184,7 +184,7 @@
         on_permitted: Callable[[str, str, float], None],
         on_ended: Callable[[], None],
     ) -> str | None:
-        """Accept a request that its caller forwards itself.
+        """Accept a request that its caller forwards itself, unless a request with the same client id is still open.
 
         Exactly one of `on_refused` and `on_permitted` is called, once.
 
@@ -199,7 +199,14 @@
             The gateway's id of the request, for `client_disconnected` and `permitted_request_ended`; None if it is
             already refused.
         """
-        return self._accept(command, on_refused, Authorisation(on_permitted, on_ended))
+        ids = self.requests.ids
+        if not ids.hold(command.client_request_id):
+            on_refused(DUPLICATE_ANSWER)
+            return None
+        try:
+            return self._accept(command, on_refused, Authorisation(on_permitted, on_ended))
+        finally:
+            ids.release(command.client_request_id)  # an accepted request holds it by itself
 
     def permitted_request_ended(
         self, request_id: str, outcome: Outcome, duration_ms: float, load_report: bytes
@@ -217,9 +224,6 @@
     def _accept(
         self, command: Command, reply: Callable[[bytes], None], authorisation: Authorisation | None
     ) -> str | None:
-        if command.client_request_id in self.requests.client_ids:
-            reply(DUPLICATE_ANSWER)
-            return None
         now_ms = self.now_ms()
         # The client's wait may already have ended while the command was queued on its connection.
         is_acceptable = command.wait_ms > 0.0 and not self._is_ending
@@ -297,7 +301,6 @@
         This is the only place that does either.
         """
         request.is_answered = True
-        self.requests.client_ids.discard(request.command.client_request_id)
         request.cancel_deadline()
         if self._observer is not None:
             self._observer.on_answer(request.command, self.now_ms() - request.arrived_at_ms, answer)
--- a/elderlock/net/open_requests.py
+++ b/elderlock/net/open_requests.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from elderlock.net.command import Command
+from elderlock.net.request_ids import RequestIds
 from elderlock.net.server_connection import Attempt
 
 BYTES_PER_MB = 1 << 20
@@ -96,7 +97,7 @@
     Attributes:
         max_count: Maximum number of requests held at once.
         free_bytes: Memory left for further requests.
-        client_ids: Clients' ids of the unanswered requests. The same id is not accepted twice.
+        ids: The clients' ids of these requests and of commands that wait or whose answer waits.
         get: Returns the request with an id, or None. It is the dictionary's method, without a wrapper, because it is
             called several times for each request.
     """
@@ -110,7 +111,7 @@
         """
         self.max_count = max_count
         self.free_bytes = memory_mb * BYTES_PER_MB * REQUEST_MEMORY_FRACTION
-        self.client_ids: set[bytes] = set()
+        self.ids = RequestIds()
         self._requests: dict[str, PendingRequest] = {}
         self._last_number = 0
         self.get = self._requests.get
@@ -120,7 +121,7 @@
         return len(self._requests)
 
     def add(self, command: Command, reply: Callable[[bytes], None], now_ms: float) -> PendingRequest | None:
-        """Accept a request; return None if one more would exceed the limits."""
+        """Accept a request, which then holds its client's id; return None if one more would exceed the limits."""
         # The command is held twice: as received, and as encoded for a server.
         memory_bytes = REQUEST_OVERHEAD_BYTES + 2 * command.size_bytes
         free_bytes = self.free_bytes - memory_bytes
@@ -128,7 +129,7 @@
             return None
         self.free_bytes = free_bytes
         self._last_number += 1
-        self.client_ids.add(command.client_request_id)
+        self.ids.share(command.client_request_id)
         request_id = f"r{self._last_number}"
         request = self._requests[request_id] = PendingRequest(request_id, command, reply, now_ms, memory_bytes)
         return request
@@ -137,9 +138,17 @@
         """Return the requests that have no final answer yet."""
         return [request for request in self._requests.values() if not request.is_answered]
 
+    def unfinished_count(self) -> int:
+        """Return the number of requests without a final answer, and of permits that have not ended."""
+        return sum(
+            1 for request in self._requests.values() if not request.is_answered or request.authorisation is not None
+        )
+
     def remove_if_finished(self, request: PendingRequest) -> None:
         """Remove a request if it is answered and has no open attempt."""
         if not request.is_answered or request.open_attempts != 0:
             return
-        if self._requests.pop(request.request_id, None) is not None:
-            self.free_bytes += request.memory_bytes
+        if self._requests.pop(request.request_id, None) is None:
+            return
+        self.free_bytes += request.memory_bytes
+        self.ids.release(request.command.client_request_id)
--- a/elderlock/net/resp.py
+++ b/elderlock/net/resp.py
@@ -67,6 +67,13 @@
         """Return the number of unparsed bytes, which is at least 1 within a message."""
         return len(self._buffer) - self._position + (self._array_length is not None)
 
+    def clear(self) -> None:
+        """Drop all unparsed bytes, and free their memory."""
+        self._buffer = bytearray()
+        self._position = 0
+        self._string_length = None
+        self._take_items()
+
     def _read_line(self, max_bytes: int) -> bytes | None:
         """Read the next line without its line end; return None until it is complete."""
         end = self._buffer.find(LINE_END, self._position, self._position + max_bytes + 2)
--- a/elderlock/sim/shells.py
+++ b/elderlock/sim/shells.py
@@ -602,6 +602,7 @@
             process = self.limiters[int(name[1:])]
             if process is not None and process.alive and not process.paused:
                 leftovers[f"requests open at {name}"] = gateway.open_request_count
+                leftovers[f"request ids held at {name}"] = len(gateway.requests.ids)
                 leftovers[f"requests that the limiter module of {name} still holds"] = len(gateway.limiter.requests)
         return leftovers
 
--- a/elderlock/trial/mutants.py
+++ b/elderlock/trial/mutants.py
@@ -193,12 +193,11 @@
 
 
 def keeps_what_is_over(patch: Patcher) -> None:
-    """Keep the ids of answered requests among the open ones."""
+    """Keep answered requests among the open ones."""
 
     def finish_and_keep(self: Gateway, request: Any, answer: Any) -> None:
-        name = request.command.client_request_id
         original(self, request, answer)
-        self.requests.client_ids.add(name)
+        self.requests.add(request.command, request.reply, self.now_ms())
 
     original = Gateway._finish
     patch.setattr(Gateway, "_finish", finish_and_keep)
--- a/tests/authz/test_server.py
+++ b/tests/authz/test_server.py
@@ -53,7 +53,7 @@
         """Return whether no table has an entry of a request."""
         gateway, limiter = self.limiter.gateway, self.limiter.gateway.limiter
         return (
-            not gateway.requests.client_ids
+            not len(gateway.requests.ids)
             and not gateway.requests
             and not limiter.requests
             and limiter.load_estimator.in_flight == 0
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -123,7 +123,7 @@
             client.send("PING")
         client.read("over", d=20)
         client.read("beyond", d=900)
-        await until(lambda: len(server.commands) == 1 and connection_of(limiter)._reader.pending_bytes() > 0)
+        await until(lambda: len(server.commands) == 1 and connection_of(limiter).unhandled_bytes() > 0)
         loop = asyncio.get_running_loop()
         started_at_s = loop.time()
         await asyncio.sleep(0.1)
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -32,7 +32,7 @@
     send_up_to_pending_limit(client)
     client.send("PING")
     await server.receive()
-    await until(lambda: connection_of(limiter)._reader.pending_bytes() > 0)
+    await until(lambda: connection_of(limiter).unhandled_bytes() > 0)
     return server, limiter, client
 
 
@@ -81,7 +81,7 @@
         def check() -> None:
             """Check between the last pending answer and the next command, whenever that falls."""
             nonlocal checked_while_waiting
-            if not connection._pending_answers and connection._reader.pending_bytes():
+            if not connection._pending_answers and connection.unhandled_bytes():
                 checked_while_waiting = True
                 connection.check_timeout(loop.time() + 1.0)  # as if it had waited too long
             if not checked_while_waiting:
@@ -105,7 +105,7 @@
         client = await limiter.client()
         assert await client.ask("before") == b"value"
         client.writer.write(PING[:5])
-        await until(lambda: connection_of(limiter)._reader.pending_bytes() > 0)
+        await until(lambda: connection_of(limiter).unhandled_bytes() > 0)
         limiter.clients._max_idle = 1
         assert await (await limiter.client()).ask("other") == b"value"
         client.writer.write(PING[5:])
@@ -131,7 +131,7 @@
             limiter.clients._retire_oldest_idle()
         else:
             assert limiter.clients._eviction_candidate(connection_of(limiter)) is None
-        await until(lambda: connection_of(limiter)._reader is not None)
+        await until(lambda: connection_of(limiter) is not None)
         first.setblocking(False)
         assert await asyncio.get_running_loop().sock_recv(first, 64) == b"+PONG\r\n"
         first.close()
--- a/tests/test_shutdown_commands.py
+++ b/tests/test_shutdown_commands.py
@@ -48,7 +48,7 @@
         send_up_to_pending_limit(client)
         for number in range(3):
             send_write(client, f"behind-{number}", request_class)
-        await until(lambda: len(server.commands) == 1 and connection_of(limiter)._reader.pending_bytes() > 0)
+        await until(lambda: len(server.commands) == 1 and connection_of(limiter).unhandled_bytes() > 0)
         await limiter.clients.drain(accept_for_s=0.0, time_limit_s=0.0)
         await expect_answers(client, "ERR failed")
         assert await answer_texts(client, 4) == ["BUSY"] * 3 + [None]
