Give client connections turns, so that floods of commands do not hold up the event loop

Cause: a connection handled all that it had read in one go, as answers that are ready at once never reach the limit of pending ones, and the loop reads a connection on while its reads fill the buffer. A step took as long as all of it.

--- a/elderlock/net/client_connection.py
+++ b/elderlock/net/client_connection.py
@@ -12,6 +12,7 @@
 
 from elderlock.net.client_commands import ARGUMENT_COUNTS, CommandError
 from elderlock.net.command_queue import CommandQueue, WaitingCommand
+from elderlock.net.command_scheduler import HANDLE_COST, PARSE_COST
 from elderlock.net.connection_owner import CloseReason, ConnectionOwner
 from elderlock.net.end_poller import EndPoller
 from elderlock.net.unread_input import UnreadInput
@@ -26,6 +27,9 @@
 # Bytes of unhandled commands that each connection may hold; further ones count against the limit of all connections.
 # Two commands of the maximum size fit.
 MAX_UNREAD_BYTES = 1 << 17
+# Commands that are parsed and handled in one turn of a connection.
+MAX_PARSED_PER_TURN = 32
+MAX_HANDLED_PER_TURN = 4
 # Consecutive errors after which a connection is closed.
 MAX_CONSECUTIVE_ERRORS = 16
 # How long a client has to read its last answer and to close its side.
@@ -67,11 +71,13 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection.
 
-    Commands are handled as they arrive, so that a slow request does not delay the next one. Answers are sent in the
-    order of their commands. While a client does not read its answers, or has too many pending, its commands wait.
+    Commands are handled as they arrive, so that a slow request does not delay the next one; connections that have more
+    than a few of them take turns. Answers are sent in the order of their commands. While a client does not read its
+    answers, or has too many pending, its commands wait.
 
     Attributes:
         has_sent_command: Whether the client has sent a complete command.
+        is_queued: Whether the connection waits for its turn to handle commands.
         waiting_since_s: Loop time at which the connection began to wait for a complete command, or for its client to
             read.
     """
@@ -84,7 +90,7 @@
         self._pending_answers: deque[PendingAnswer] = deque()
         self._state = ConnectionState.OPEN
         self._is_handling = False
-        self._is_handling_scheduled = False
+        self._is_read_deferred = False
         self._is_read_paused = False
         self._is_write_blocked = False
         self._consecutive_errors = 0
@@ -93,6 +99,7 @@
         self._linger_timer: asyncio.TimerHandle | None = None
         self._end_poller = EndPoller(listener.loop, self.eof_received)
         self.has_sent_command = False
+        self.is_queued = False
         self.waiting_since_s = listener.loop.time()
 
     # Callbacks of the transport
@@ -136,8 +143,15 @@
         now_s = self._listener.loop.time()
         if not self.unhandled_bytes():
             self.waiting_since_s = now_s
-        self._commands.feed(self._listener.receive_buffer[:nbytes], now_s)
-        self._handle_commands()
+        buffer = self._listener.receive_buffer
+        self._commands.feed(buffer[:nbytes], now_s)
+        if nbytes == len(buffer):
+            # The event loop would read on at once, up to many times, before it turns to other connections.
+            self._is_read_deferred = True
+            self._update_reading()
+            self._listener.scheduler.queue(self)
+        else:
+            self._listener.scheduler.run(self)
 
     def pause_writing(self) -> None:
         """Stop handling commands while the client does not read its answers."""
@@ -149,28 +163,45 @@
         """Resume handling commands."""
         self._is_write_blocked = False
         self._update_reading()
-        self._schedule_handling()
+        self._schedule_turn()
 
     # Commands
 
-    def _has_too_many_pending(self) -> bool:
-        """Whether no further command is handled until answers are sent."""
-        return self._is_write_blocked or len(self._pending_answers) >= MAX_PENDING_ANSWERS
+    def _may_handle(self) -> bool:
+        """Whether a further command may be handled, rather than wait until answers are sent."""
+        has_too_many_pending = self._is_write_blocked or len(self._pending_answers) >= MAX_PENDING_ANSWERS
+        return not has_too_many_pending and self._state is ConnectionState.OPEN
 
-    def _handle_commands(self) -> None:
-        """Handle waiting commands while few enough answers are pending."""
-        self._is_handling_scheduled = False
-        self._is_handling = True
-        try:
-            while self._commands and self._state is ConnectionState.OPEN and not self._has_too_many_pending():
-                self._handle_command(self._commands.next_command())
-        finally:
-            self._is_handling = False
+    def run_turn(self) -> int:
+        """Parse and handle a few of the received commands; return the cost of it for the scheduler."""
+        if self._state is not ConnectionState.OPEN:
+            return 0
+        cost = PARSE_COST * self._commands.parse(MAX_PARSED_PER_TURN) + HANDLE_COST * self._handle_commands()
         error = self._commands.error
         if error is not None and not self._commands:
             self.close_with_error(f"Protocol error: {error}")
+        self._is_read_deferred = self._commands.may_parse
         self._update_reading()
         self.close_if_done()
+        return cost
+
+    def has_work(self) -> bool:
+        """Whether a further turn could parse or handle something now."""
+        if self._state is not ConnectionState.OPEN:
+            return False
+        return self._commands.may_parse or (bool(self._commands) and self._may_handle())
+
+    def _handle_commands(self) -> int:
+        """Handle a few waiting commands while few enough answers are pending; return their number."""
+        count = 0
+        self._is_handling = True
+        try:
+            while self._commands and count < MAX_HANDLED_PER_TURN and self._may_handle():
+                self._handle_command(self._commands.next_command())
+                count += 1
+        finally:
+            self._is_handling = False
+        return count
 
     def _handle_command(self, command: WaitingCommand) -> None:
         self.has_sent_command = True
@@ -209,16 +240,17 @@
     def _update_reading(self) -> None:
         """Pause or resume the transport's reading.
 
-        While too many answers are pending, commands are still read into the buffer, where the event loop detects the
-        end of the connection. The socket is polled for it while there is no memory for that.
+        It is deferred to the connection's next turn while received bytes wait to be parsed. Commands that wait to be
+        handled do not stop it, as the event loop detects the end of the connection only by reading. The socket is
+        polled for the end while there is no memory for further commands.
         """
-        has_too_many_pending = self._has_too_many_pending()
-        if not has_too_many_pending and not self._excess_bytes and not self._is_read_paused:
-            return
         waiting_bytes = self.unhandled_bytes()
+        is_unlimited = waiting_bytes < MAX_UNREAD_BYTES and not self._is_read_deferred
+        if is_unlimited and not self._excess_bytes and not self._is_read_paused:
+            return
         self._count_excess_bytes(max(0, waiting_bytes - MAX_UNREAD_BYTES))
         may_exceed = not self._listener.excess_input.is_full()
-        pause = has_too_many_pending and waiting_bytes >= MAX_UNREAD_BYTES and not may_exceed
+        pause = not is_unlimited and (self._is_read_deferred or not may_exceed)
         if self._transport is None or self._transport.is_closing() or pause == self._is_read_paused:
             return
         self._is_read_paused = pause
@@ -233,17 +265,10 @@
         self._listener.excess_input.resize(self._excess_bytes, excess_bytes)
         self._excess_bytes = excess_bytes
 
-    def _schedule_handling(self) -> None:
-        """Handle waiting commands in the loop's next step: this may run while one is being handled."""
-        if self._is_handling or self._state is not ConnectionState.OPEN or self._has_too_many_pending():
-            return
-        if self._has_work() and not self._is_handling_scheduled:
-            self._is_handling_scheduled = True
-            self._listener.loop.call_soon(self._handle_commands)
-
-    def _has_work(self) -> bool:
-        """Whether a complete command, or the error behind the last one, waits to be handled."""
-        return bool(self._commands) or self._commands.error is not None
+    def _schedule_turn(self) -> None:
+        """Let the connection wait for its turn if it has something to do then."""
+        if not self._is_handling and self.has_work():
+            self._listener.scheduler.queue(self)
 
     # Answers
 
@@ -267,7 +292,7 @@
             self._release_id(self._pending_answers.popleft())
         if ready and self._transport is not None:
             self._transport.write(b"".join(ready))
-        self._schedule_handling()
+        self._schedule_turn()
         self.close_if_done()
 
     def _abandon_pending(self) -> None:
@@ -379,6 +404,6 @@
 
     def _waits_for_command(self) -> bool:
         """Whether the connection waits for its first command or for the rest of a command."""
-        if self._has_work():
+        if self._commands or self._commands.may_parse or self._has_unread_input():
             return False
         return not self.has_sent_command or self._commands.has_partial_command()
--- a/elderlock/net/client_listener.py
+++ b/elderlock/net/client_listener.py
@@ -7,6 +7,7 @@
 
 from elderlock.net.client_commands import CommandParser
 from elderlock.net.client_connection import ClientConnection
+from elderlock.net.command_scheduler import CommandScheduler
 from elderlock.net.connection_owner import CloseReason
 from elderlock.net.excess_input import ExcessInput
 from elderlock.net.gateway import Gateway
@@ -40,6 +41,7 @@
         gateway: Handles the clients' requests.
         parser: Parses the requests; shared by all connections.
         receive_buffer: Shared by all connections.
+        scheduler: Gives connections their turns to handle commands.
         excess_input: Limits the commands that wait on connections.
         is_draining: Whether each connection closes once it has no answer pending.
         is_cordoned: Whether an operator drained this limiter; `uncordon` undoes it.
@@ -58,6 +60,7 @@
         self.gateway = gateway
         self.parser = CommandParser(gateway.settings, gateway.max_request_units)
         self.receive_buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
+        self.scheduler = CommandScheduler(loop)
         self.excess_input = ExcessInput(int(gateway.memory_mb * BYTES_PER_MB * EXCESS_INPUT_MEMORY_FRACTION))
         self.is_draining = False
         self.is_cordoned = False
--- a/elderlock/net/command_queue.py
+++ b/elderlock/net/command_queue.py
@@ -33,12 +33,13 @@
 
 
 class CommandQueue:
-    """Parses received bytes into commands as they arrive, and keeps the commands until they are handled.
+    """Parses received bytes into commands, and keeps the commands until they are handled.
 
     A request holds its id from here on, so that it is not accepted from another client while it waits.
 
     Attributes:
         error: Why the bytes behind the waiting commands cannot be parsed; None while they can.
+        may_parse: Whether complete commands may remain to be parsed.
     """
 
     def __init__(self, request_ids: RequestIds) -> None:
@@ -51,7 +52,9 @@
         self._reader = CommandReader()
         self._waiting: deque[WaitingCommand] = deque()
         self._waiting_bytes = 0
+        self._fed_at_s = 0.0
         self.error: ProtocolError | None = None
+        self.may_parse = False
 
     def __len__(self) -> int:
         """Return the number of complete commands that wait."""
@@ -66,21 +69,33 @@
         return bool(self._reader.pending_bytes())
 
     def feed(self, data: memoryview, now_s: float) -> None:
-        """Parse received bytes.
+        """Add received bytes.
 
         Args:
             data: The bytes, which are copied.
             now_s: Loop time at which they were read.
         """
-        if self.error is not None:
-            return
-        self._reader.feed(data)
+        if self.error is None:
+            self._reader.feed(data)
+            self._fed_at_s = now_s
+            self.may_parse = True
+
+    def parse(self, max_commands: int) -> int:
+        """Parse up to `max_commands` complete commands, and return their number."""
+        count = 0
         try:
-            while (arguments := self._reader.next_message()) is not None:
-                self._append(arguments, now_s)
+            while count < max_commands:
+                arguments = self._reader.next_message()
+                if arguments is None:
+                    self.may_parse = False
+                    break
+                self._append(arguments, self._fed_at_s)
+                count += 1
         except ProtocolError as error:
             self.error = error
+            self.may_parse = False
             self._reader.clear()
+        return count
 
     def _append(self, arguments: list[bytes], now_s: float) -> None:
         verb = arguments[0].upper()
@@ -106,3 +121,4 @@
             if held_id is not None:
                 self._request_ids.release(held_id)
         self._reader.clear()
+        self.may_parse = False
--- a/elderlock/net/connection_owner.py
+++ b/elderlock/net/connection_owner.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from elderlock.net.client_commands import CommandParser
+from elderlock.net.command_scheduler import CommandScheduler
 from elderlock.net.excess_input import ExcessInput
 from elderlock.net.gateway import Gateway
 
@@ -32,6 +33,7 @@
         gateway: Handles the requests.
         parser: Parses the requests.
         receive_buffer: Shared by all connections; the bytes are copied out before the next read.
+        scheduler: Gives connections their turns to handle commands.
         excess_input: Limits the unhandled bytes beyond `MAX_UNREAD_BYTES` over all connections.
         is_draining: Whether a connection closes once it has no answer pending.
         is_cordoned: Whether an operator drained this limiter.
@@ -41,6 +43,7 @@
     gateway: Gateway
     parser: CommandParser
     receive_buffer: memoryview
+    scheduler: CommandScheduler
     excess_input: ExcessInput
     is_draining: bool
     is_cordoned: bool
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -58,6 +58,7 @@
     "elderlock.net.clock",
     "elderlock.net.command",
     "elderlock.net.command_queue",
+    "elderlock.net.command_scheduler",
     "elderlock.net.config",
     "elderlock.net.connection_owner",
     "elderlock.net.discovery",
