Count all unhandled input against one memory budget, and reject what does not fit

What callers saw: with hundreds of clients that stopped half way through a large command or sent many arguments, a process passed its memory limit and was killed. Cause: closed connections were in a reference cycle and kept their input until the collector ran; 128 KiB on each connection, and parsed arguments, were counted nowhere; the limits of parts took the program itself to need nothing. Change: MemoryBudget divides what the program leaves. InputBudget counts complete and incomplete commands; what does not fit is rejected in its turn, an incomplete command is received without being stored. Connections are always read on, so EndPoller and ExcessInput go. Tests: those of paused reading asked for the old way to stay within memory.

--- a/elderlock/net/client_connection.py
+++ b/elderlock/net/client_connection.py
@@ -4,29 +4,25 @@
 
 import asyncio
 import logging
-from collections import deque
 from dataclasses import replace
 from enum import Enum
 from functools import partial
 from typing import cast
 
 from elderlock.net.client_commands import ARGUMENT_COUNTS, CommandError
-from elderlock.net.command_queue import CommandQueue, WaitingCommand
+from elderlock.net.command_queue import CommandQueue, RejectedCommands, WaitingCommand
 from elderlock.net.command_scheduler import HANDLE_COST, PARSE_COST
 from elderlock.net.connection_owner import CloseReason, ConnectionOwner
-from elderlock.net.end_poller import EndPoller
+from elderlock.net.gateway import BUSY_ANSWER, DUPLICATE_ANSWER
+from elderlock.net.pending_answers import PendingAnswer, PendingAnswers
 from elderlock.net.unread_input import UnreadInput
 
 PING_VERB = b"PING"
 PONG_ANSWER = b"+PONG\r\n"
 NO_LIST_ANSWER = b"-LOADING no list of servers yet\r\n"
 CORDONED_ANSWER = b"-LOADING drained by an operator\r\n"
-DUPLICATE_ANSWER = b"-ERR a request of this id is open\r\n"
 # With this many pending answers on a connection, no further command from it is handled.
 MAX_PENDING_ANSWERS = 64
-# Bytes of unhandled commands that each connection may hold; further ones count against the limit of all connections.
-# Two commands of the maximum size fit.
-MAX_UNREAD_BYTES = 1 << 17
 # Commands that are parsed and handled in one turn of a connection.
 MAX_PARSED_PER_TURN = 32
 MAX_HANDLED_PER_TURN = 4
@@ -51,23 +47,6 @@
     HALF_CLOSED = "half closed"  # this side is shut down, and received bytes are discarded
 
 
-class PendingAnswer:
-    """An entry in a connection's queue of answers, which keeps the order of the commands.
-
-    Attributes:
-        answer: The encoded answer; None until the command is answered.
-        held_id: The client's request id, held until the answer leaves; None for other commands.
-        request_id: The gateway's id of the request; None for other commands.
-    """
-
-    __slots__ = ("answer", "held_id", "request_id")
-
-    def __init__(self, answer: bytes | None = None, held_id: bytes | None = None) -> None:
-        self.answer = answer
-        self.held_id = held_id
-        self.request_id: str | None = None
-
-
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection.
 
@@ -75,6 +54,9 @@
     than a few of them take turns. Answers are sent in the order of their commands. While a client does not read its
     answers, or has too many pending, its commands wait.
 
+    The connection is always read on, as its end is only detected behind all that its client has sent: commands for
+    which there is no memory are rejected.
+
     Attributes:
         has_sent_command: Whether the client has sent a complete command.
         is_queued: Whether the connection waits for its turn to handle commands.
@@ -84,20 +66,18 @@
 
     def __init__(self, listener: ConnectionOwner) -> None:
         self._listener = listener
-        self._request_ids = listener.gateway.requests.ids
-        self._commands = CommandQueue(self._request_ids)
+        request_ids = listener.gateway.requests.ids
+        self._commands = CommandQueue(request_ids, listener.input_budget)
+        self._pending_answers = PendingAnswers(request_ids)
         self._transport: asyncio.Transport | None = None
-        self._pending_answers: deque[PendingAnswer] = deque()
         self._state = ConnectionState.OPEN
+        self._buffer = listener.receive_buffer
         self._is_handling = False
         self._is_read_deferred = False
-        self._is_read_paused = False
         self._is_write_blocked = False
         self._consecutive_errors = 0
         self._discarded_bytes = 0
-        self._excess_bytes = 0
         self._linger_timer: asyncio.TimerHandle | None = None
-        self._end_poller = EndPoller(listener.loop, self.eof_received)
         self.has_sent_command = False
         self.is_queued = False
         self.waiting_since_s = listener.loop.time()
@@ -112,11 +92,9 @@
     def connection_lost(self, _exc: Exception | None) -> None:
         """Abandon the pending requests, as the client is gone."""
         self._listener.connection_closed(self)
-        self._end_poller.stop()
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         self._abandon_pending()
-        self._count_excess_bytes(0)
 
     def eof_received(self) -> None:
         """Treat the client as disconnected, as a half-close cannot be distinguished from a close.
@@ -129,8 +107,10 @@
             self._linger_timer = self._listener.loop.call_later(LINGER_S, self.abort)
 
     def get_buffer(self, _sizehint: int) -> memoryview:
-        """Return the buffer that all connections share."""
-        return self._listener.receive_buffer
+        """Return the buffer that all connections share, or a small part of it while memory for input is scarce."""
+        listener = self._listener
+        self._buffer = listener.small_receive_buffer if listener.input_budget.is_scarce() else listener.receive_buffer
+        return self._buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle the commands that the received bytes complete."""
@@ -141,14 +121,13 @@
                 self.abort()
             return
         now_s = self._listener.loop.time()
-        if not self.unhandled_bytes():
+        if self._commands.is_empty():
             self.waiting_since_s = now_s
-        buffer = self._listener.receive_buffer
-        self._commands.feed(buffer[:nbytes], now_s)
-        if nbytes == len(buffer):
+        self._commands.feed(self._buffer[:nbytes], now_s)
+        if nbytes == len(self._buffer):
             # The event loop would read on at once, up to many times, before it turns to other connections.
-            self._is_read_deferred = True
-            self._update_reading()
+            self._defer_reading(True)
+            self._commands.parse(MAX_PARSED_PER_TURN)
             self._listener.scheduler.queue(self)
         else:
             self._listener.scheduler.run(self)
@@ -157,12 +136,10 @@
         """Stop handling commands while the client does not read its answers."""
         self._is_write_blocked = True
         self.waiting_since_s = self._listener.loop.time()
-        self._update_reading()
 
     def resume_writing(self) -> None:
         """Resume handling commands."""
         self._is_write_blocked = False
-        self._update_reading()
         self._schedule_turn()
 
     # Commands
@@ -175,13 +152,14 @@
     def run_turn(self) -> int:
         """Parse and handle a few of the received commands; return the cost of it for the scheduler."""
         if self._state is not ConnectionState.OPEN:
+            self._defer_reading(False)
             return 0
-        cost = PARSE_COST * self._commands.parse(MAX_PARSED_PER_TURN) + HANDLE_COST * self._handle_commands()
+        cost = PARSE_COST * self._commands.parse(MAX_PARSED_PER_TURN)
+        self._defer_reading(self._commands.may_parse)
+        cost += HANDLE_COST * self._handle_commands()
         error = self._commands.error
         if error is not None and not self._commands:
             self.close_with_error(f"Protocol error: {error}")
-        self._is_read_deferred = self._commands.may_parse
-        self._update_reading()
         self.close_if_done()
         return cost
 
@@ -203,10 +181,14 @@
             self._is_handling = False
         return count
 
-    def _handle_command(self, command: WaitingCommand) -> None:
+    def _handle_command(self, command: WaitingCommand | RejectedCommands) -> None:
         self.has_sent_command = True
         self.waiting_since_s = self._listener.loop.time()
         self._listener.command_received(self)
+        if isinstance(command, RejectedCommands):
+            self._pending_answers.append(PendingAnswer(BUSY_ANSWER * command.count))
+            self._write_ready_answers()
+            return
         pending = PendingAnswer(held_id=command.held_id)
         self._pending_answers.append(pending)
         if command.verb in ARGUMENT_COUNTS:
@@ -237,34 +219,16 @@
             return CORDONED_ANSWER
         return PONG_ANSWER if self._listener.gateway.has_list else NO_LIST_ANSWER
 
-    def _update_reading(self) -> None:
-        """Pause or resume the transport's reading.
-
-        It is deferred to the connection's next turn while received bytes wait to be parsed. Commands that wait to be
-        handled do not stop it, as the event loop detects the end of the connection only by reading. The socket is
-        polled for the end while there is no memory for further commands.
-        """
-        waiting_bytes = self.unhandled_bytes()
-        is_unlimited = waiting_bytes < MAX_UNREAD_BYTES and not self._is_read_deferred
-        if is_unlimited and not self._excess_bytes and not self._is_read_paused:
+    def _defer_reading(self, is_deferred: bool) -> None:
+        """Pause the transport's reading until the connection's next turn, or resume it."""
+        if is_deferred == self._is_read_deferred or self._transport is None or self._transport.is_closing():
             return
-        self._count_excess_bytes(max(0, waiting_bytes - MAX_UNREAD_BYTES))
-        may_exceed = not self._listener.excess_input.is_full()
-        pause = not is_unlimited and (self._is_read_deferred or not may_exceed)
-        if self._transport is None or self._transport.is_closing() or pause == self._is_read_paused:
-            return
-        self._is_read_paused = pause
-        if pause:
+        self._is_read_deferred = is_deferred
+        if is_deferred:
             self._transport.pause_reading()
-            self._end_poller.start(self._transport)
         else:
-            self._end_poller.stop()
             self._transport.resume_reading()
 
-    def _count_excess_bytes(self, excess_bytes: int) -> None:
-        self._listener.excess_input.resize(self._excess_bytes, excess_bytes)
-        self._excess_bytes = excess_bytes
-
     def _schedule_turn(self) -> None:
         """Let the connection wait for its turn if it has something to do then."""
         if not self._is_handling and self.has_work():
@@ -274,7 +238,7 @@
 
     def _answer(self, pending: PendingAnswer, answer: bytes) -> None:
         pending.answer = answer
-        if self._pending_answers and self._pending_answers[0] is pending:
+        if self._pending_answers.is_first(pending):
             self._write_ready_answers()
 
     def _answer_error(self, pending: PendingAnswer, text: str) -> None:
@@ -286,31 +250,19 @@
             self.close_if_done()
 
     def _write_ready_answers(self) -> None:
-        ready = []
-        while self._pending_answers and (answer := self._pending_answers[0].answer) is not None:
-            ready.append(answer)
-            self._release_id(self._pending_answers.popleft())
+        ready = self._pending_answers.take_ready()
         if ready and self._transport is not None:
-            self._transport.write(b"".join(ready))
+            self._transport.write(ready)
         self._schedule_turn()
         self.close_if_done()
 
     def _abandon_pending(self) -> None:
         """Abandon the pending requests: none of them is forwarded or retried any more."""
         self._stop_commands()
-        abandoned = self._pending_answers
-        self._pending_answers = deque()
-        for pending in abandoned:
-            if pending.request_id is not None and pending.answer is None:
-                self._listener.gateway.client_disconnected(pending.request_id)
-            self._release_id(pending)
+        for request_id in self._pending_answers.abandon():
+            self._listener.gateway.client_disconnected(request_id)
         self._commands.clear()
 
-    def _release_id(self, pending: PendingAnswer) -> None:
-        if pending.held_id is not None:
-            self._request_ids.release(pending.held_id)
-            pending.held_id = None
-
     # Closing
 
     def _stop_commands(self) -> None:
@@ -330,7 +282,7 @@
         is_open = self._state is ConnectionState.OPEN
         if self._pending_answers or self._transport is None or (is_open and not self._listener.is_draining):
             return
-        if is_open and (self._is_handling or self.unhandled_bytes() or self._has_unread_input()):
+        if is_open and (self._is_handling or not self._commands.is_empty() or self._has_unread_input()):
             return  # commands already received, completely or in part, are answered before a drain closes
         self.retire(CloseReason.DRAIN if is_open else CloseReason.ERROR)
 
@@ -349,8 +301,7 @@
         # request arrives, would reset the connection and lose the last answer.
         self._state = ConnectionState.HALF_CLOSED
         self._listener.connection_half_closed(self)
-        self._end_poller.stop()
-        self._transport.resume_reading()
+        self._defer_reading(False)
         self._transport.write_eof()
         self._linger_timer = self._listener.loop.call_later(LINGER_S, self.abort)
 
@@ -362,13 +313,13 @@
     # For the listener
 
     def unhandled_bytes(self) -> int:
-        """Return the received bytes that are not handled, at least 1 within a command."""
+        """Return the memory of what has been received and not handled."""
         return self._commands.unhandled_bytes()
 
     def log_unanswered(self, reason: CloseReason) -> None:
         """Log what the client has sent and would get no answer for if the connection closed now."""
         unhandled_bytes = self.unhandled_bytes()
-        if self._pending_answers or unhandled_bytes:
+        if self._pending_answers or not self._commands.is_empty():
             log.warning(
                 "client connection closes: %s, with %d unanswered commands and %d unhandled bytes",
                 reason.value,
@@ -377,13 +328,14 @@
             )
 
     def is_answered(self) -> bool:
-        """Whether no command is being handled, none waits for its answer, and all answers have been sent."""
-        is_handling = self._is_handling or bool(self._pending_answers)
+        """Whether no command that was read is to be handled or answered, and all answers have been sent."""
+        has_commands = self._is_handling or bool(self._commands) or self._commands.may_parse
+        is_handling = has_commands or bool(self._pending_answers)
         return not is_handling and self._state is ConnectionState.OPEN and self.is_flushed()
 
     def is_idle(self) -> bool:
         """Whether it is between requests: all are answered, and no part of a further one has arrived, read or not."""
-        return self.is_answered() and not self.unhandled_bytes() and not self._has_unread_input()
+        return self.is_answered() and self._commands.is_empty() and not self._has_unread_input()
 
     def is_flushed(self) -> bool:
         """Whether all written answers have been sent; an abort would lose the others."""
--- a/elderlock/net/client_listener.py
+++ b/elderlock/net/client_listener.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 from elderlock.net.client_commands import CommandParser
 from elderlock.net.client_connection import ClientConnection
 from elderlock.net.command_scheduler import CommandScheduler
 from elderlock.net.connection_owner import CloseReason
-from elderlock.net.excess_input import ExcessInput
 from elderlock.net.gateway import Gateway
-from elderlock.net.open_requests import BYTES_PER_MB
+from elderlock.net.input_budget import InputBudget
 
 # Fraction of the process's descriptors for client connections; connections to servers have a separate fraction.
 CLIENT_DESCRIPTOR_FRACTION = 0.45
@@ -19,8 +19,7 @@
 # closed. Clients may hold up to a third for requests: without a limit on idle connections, others could not connect.
 IDLE_DESCRIPTOR_FRACTION = 1 / 6
 RECEIVE_BUFFER_BYTES = 1 << 14
-# Fraction of the process's memory for commands that wait beyond the share of each connection.
-EXCESS_INPUT_MEMORY_FRACTION = 1 / 16
+SMALL_RECEIVE_BUFFER_BYTES = 1 << 11
 BACKLOG = 1024
 # How long a connection may wait for a complete command, or for its client to read an answer.
 SILENCE_LIMIT_S = 2.0
@@ -32,6 +31,8 @@
 # Time for the loop to read input that has already arrived, before connections are closed.
 PENDING_INPUT_DELAY_S = 0.01
 
+log = logging.getLogger(__name__)
+
 
 class ClientListener:
     """The listener for clients and all their connections.
@@ -41,8 +42,9 @@
         gateway: Handles the clients' requests.
         parser: Parses the requests; shared by all connections.
         receive_buffer: Shared by all connections.
+        small_receive_buffer: A part of it.
         scheduler: Gives connections their turns to handle commands.
-        excess_input: Limits the commands that wait on connections.
+        input_budget: Limits the memory for commands that wait on connections.
         is_draining: Whether each connection closes once it has no answer pending.
         is_cordoned: Whether an operator drained this limiter; `uncordon` undoes it.
         on_cordon: Called with `is_cordoned` when it changes, to drain another frontend together with this one.
@@ -60,12 +62,13 @@
         self.gateway = gateway
         self.parser = CommandParser(gateway.settings, gateway.max_request_units)
         self.receive_buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
+        self.small_receive_buffer = self.receive_buffer[:SMALL_RECEIVE_BUFFER_BYTES]
         self.scheduler = CommandScheduler(loop)
-        self.excess_input = ExcessInput(int(gateway.memory_mb * BYTES_PER_MB * EXCESS_INPUT_MEMORY_FRACTION))
         self.is_draining = False
         self.is_cordoned = False
         self.on_cordon: Callable[[bool], None] | None = None
         self._max_connections = int(max_descriptors * CLIENT_DESCRIPTOR_FRACTION)
+        self.input_budget = InputBudget(gateway.memory.input, self._max_connections)
         self._max_idle = int(max_descriptors * IDLE_DESCRIPTOR_FRACTION)
         # Each connection is in one of these: `_used` in the order of the last complete command, the oldest first;
         # `_unused` before its first command; `_half_closed` while it only waits for its client to close.
@@ -75,6 +78,7 @@
         self._server: asyncio.Server | None = None
         self._is_empty = asyncio.Event()
         self._is_shutting_down = False
+        self._logged_input = (0, 0)
 
     def __len__(self) -> int:
         """Return the number of open connections."""
@@ -92,6 +96,21 @@
         limit_s = self.loop.time() - SILENCE_LIMIT_S
         for connection in [*self._used, *self._unused]:
             connection.check_timeout(limit_s)
+        self._log_rejected_input()
+
+    def _log_rejected_input(self) -> None:
+        """Log what found no memory since the last check."""
+        budget = self.input_budget
+        counts = (budget.rejected_count, budget.discarded_count)
+        rejected_count, discarded_count = (now - before for now, before in zip(counts, self._logged_input, strict=True))
+        if rejected_count or discarded_count:
+            self._logged_input = counts
+            log.warning(
+                "client input: %d commands rejected, %d incomplete ones discarded, %d bytes held",
+                rejected_count,
+                discarded_count,
+                budget.used_bytes,
+            )
 
     # Callbacks of the connections
 
--- a/elderlock/net/connection_owner.py
+++ b/elderlock/net/connection_owner.py
@@ -8,8 +8,8 @@
 
 from elderlock.net.client_commands import CommandParser
 from elderlock.net.command_scheduler import CommandScheduler
-from elderlock.net.excess_input import ExcessInput
 from elderlock.net.gateway import Gateway
+from elderlock.net.input_budget import InputBudget
 
 if TYPE_CHECKING:
     from elderlock.net.client_connection import ClientConnection
@@ -33,8 +33,9 @@
         gateway: Handles the requests.
         parser: Parses the requests.
         receive_buffer: Shared by all connections; the bytes are copied out before the next read.
+        small_receive_buffer: A part of it, for reads while memory for input is scarce.
         scheduler: Gives connections their turns to handle commands.
-        excess_input: Limits the unhandled bytes beyond `MAX_UNREAD_BYTES` over all connections.
+        input_budget: Limits the memory for commands that wait on connections.
         is_draining: Whether a connection closes once it has no answer pending.
         is_cordoned: Whether an operator drained this limiter.
     """
@@ -43,8 +44,9 @@
     gateway: Gateway
     parser: CommandParser
     receive_buffer: memoryview
+    small_receive_buffer: memoryview
     scheduler: CommandScheduler
-    excess_input: ExcessInput
+    input_budget: InputBudget
     is_draining: bool
     is_cordoned: bool
 
--- a/elderlock/net/gateway.py
+++ b/elderlock/net/gateway.py
@@ -20,6 +20,7 @@
 from elderlock.net.command import Command
 from elderlock.net.config import Config
 from elderlock.net.endpoint_list import EndpointList, parse_endpoint_list
+from elderlock.net.memory_budget import MemoryBudget
 from elderlock.net.open_requests import Authorisation, OpenRequests, PendingRequest
 from elderlock.net.request_observer import RequestObserver
 from elderlock.net.server_connection import Attempt
@@ -44,7 +45,7 @@
         now_ms: Returns the current time.
         settings: The limiter's settings.
         max_request_units: Maximum number of units that one request may cost.
-        memory_mb: Maximum memory of the whole process in MB.
+        memory: The limits of what is held for clients.
         server_pools: The connections to the servers.
         requests: The accepted requests that have not finished.
         has_list: Whether any list has named a server so far.
@@ -60,6 +61,7 @@
         clock: Clock,
         coordinator_type: type[QuotaCoordinator] = QuotaCoordinator,
         limiter_type: type[Limiter] = Limiter,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Initialise the gateway and its limiter; `start` starts them.
 
@@ -69,13 +71,14 @@
             clock: Provides the time of all events.
             coordinator_type: Class of the limiter's part that tracks customers' usage at other limiters.
             limiter_type: The limiter's class.
+            memory: The limits of what is held for clients; by default they follow from the configuration alone.
         """
         self._loop = loop
         self._config = config
         self.now_ms = clock.now_ms
         self.settings = config.settings
         self.max_request_units = config.socket_settings.largest_request_units
-        self.memory_mb = config.memory_mb
+        self.memory = memory or MemoryBudget.of(config.memory_mb)
         self.server_pools = ServerPools(
             loop,
             config.socket_settings,
@@ -87,7 +90,7 @@
             self.now_ms,
             self._attempt_ended,
         )
-        self.requests = OpenRequests(config.socket_settings.max_open_requests, config.memory_mb)
+        self.requests = OpenRequests(config.socket_settings.max_open_requests, self.memory)
         self._authorised = AuthorisedRequests(loop, self.requests, self.server_pools, self.now_ms, self._submit)
         self._limiter = limiter_type(config.settings, config.seed, self.now_ms(), coordinator_type)
         self._events: deque[api.Event] = deque()
--- a/elderlock/net/open_requests.py
+++ b/elderlock/net/open_requests.py
@@ -6,12 +6,10 @@
 from collections.abc import Callable
 
 from elderlock.net.command import Command
+from elderlock.net.memory_budget import MemoryBudget
 from elderlock.net.request_ids import RequestIds
 from elderlock.net.server_connection import Attempt
 
-BYTES_PER_MB = 1 << 20
-# Fraction of the memory for open requests; the program and its connections need the rest, even with a limit of 32 MB.
-REQUEST_MEMORY_FRACTION = 0.25
 # Memory that a request uses in addition to its command, including the answer.
 REQUEST_OVERHEAD_BYTES = 1 << 13
 
@@ -102,15 +100,15 @@
             called several times for each request.
     """
 
-    def __init__(self, max_count: int, memory_mb: float) -> None:
+    def __init__(self, max_count: int, memory: MemoryBudget) -> None:
         """Initialise an empty table.
 
         Args:
             max_count: Maximum number of requests held at once.
-            memory_mb: Maximum memory of the whole process in MB.
+            memory: The process's memory, of which it has a part.
         """
         self.max_count = max_count
-        self.free_bytes = memory_mb * BYTES_PER_MB * REQUEST_MEMORY_FRACTION
+        self.free_bytes = float(memory.requests)
         self.ids = RequestIds()
         self._requests: dict[str, PendingRequest] = {}
         self._last_number = 0
--- a/elderlock/net/resp.py
+++ b/elderlock/net/resp.py
@@ -67,6 +67,10 @@
         """Return the number of unparsed bytes, which is at least 1 within a message."""
         return len(self._buffer) - self._position + (self._array_length is not None)
 
+    def held_bytes(self) -> int:
+        """Return the bytes that the incomplete message holds, parsed or not."""
+        return len(self._buffer) - self._position + sum(len(item) for item in self._items if item is not None)
+
     def clear(self) -> None:
         """Drop all unparsed bytes, and free their memory."""
         self._buffer = bytearray()
@@ -119,11 +123,47 @@
 
 
 class CommandReader(MessageReader):
-    """Reads one command after another."""
+    """Reads one command after another.
+
+    Attributes:
+        is_discarding: Whether the arguments of the incomplete command are dropped as they arrive.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_discarding = False
+
+    def clear(self) -> None:
+        """Drop all unparsed bytes, and free their memory."""
+        super().clear()
+        self.is_discarding = False
+
+    def discard_message(self) -> None:
+        """Drop what has arrived of the incomplete command, and what will; `next_message` returns it without arguments.
+
+        Without effect if the command's first line is not complete.
+        """
+        if self._array_length is None:
+            return
+        self.is_discarding = True
+        self._items = [b""] * len(self._items)
+        self._discard_content()
+        self._buffer = self._buffer[self._position :]
+        self._position = 0
+
+    def _discard_content(self) -> None:
+        """Drop the part of the current argument that has arrived."""
+        if self._string_length is not None:
+            discarded = min(len(self._buffer) - self._position, self._string_length)
+            self._position += discarded
+            self._string_length -= discarded
 
     def next_message(self) -> list[bytes] | None:
         """Read the next command, an array of one or more bulk strings; return None until it is complete.
 
+        Returns:
+            The arguments; none for a command that was discarded.
+
         Raises:
             ProtocolError: The input is not a command.
         """
@@ -138,12 +178,24 @@
             return None
         if not self._array_length:
             raise ProtocolError("expected an array of bulk strings")
-        while len(self._items) < self._array_length:
+        if not self._read_arguments(self._array_length):
+            return None
+        arguments = [item for item in self._take_items() if item is not None]
+        if self.is_discarding:
+            self.is_discarding = False
+            return []
+        return arguments
+
+    def _read_arguments(self, count: int) -> bool:
+        """Read the arguments that have arrived; return whether all `count` have."""
+        while len(self._items) < count:
             item = self._read_bulk_string(MAX_VALUE_BYTES if len(self._items) == BODY_INDEX else MAX_ARGUMENT_BYTES)
             if item is None:
-                return None
-            self._items.append(item)
-        return [item for item in self._take_items() if item is not None]
+                if self.is_discarding:
+                    self._discard_content()
+                return False
+            self._items.append(b"" if self.is_discarding else item)
+        return True
 
     def _match_four_arguments(self) -> list[bytes] | None:
         """Read a complete command of four strings without line ends in one match; nearly all commands have this form.
--- a/elderlock/net/startup.py
+++ b/elderlock/net/startup.py
@@ -17,6 +17,7 @@
 from elderlock.net.config import Config
 from elderlock.net.discovery import Discovery
 from elderlock.net.gateway import Gateway
+from elderlock.net.memory_budget import DEFAULT_PROGRAM_MB, MemoryBudget, measured_program_mb
 from elderlock.net.peers import PeerTransport
 from elderlock.net.signals import handle_reload_signal, handle_stop_signals
 
@@ -101,7 +102,8 @@
         config = features.with_routing(config)
         coordinator_type = features.coordinator_type(config.settings.limiter_count)
         limiter_type = features.limiter_type(config.settings)
-    gateway = Gateway(loop, config, Clock(), coordinator_type, limiter_type)
+    memory = MemoryBudget.of(config.memory_mb, max(DEFAULT_PROGRAM_MB, measured_program_mb()))
+    gateway = Gateway(loop, config, Clock(), coordinator_type, limiter_type, memory)
     discovery = Discovery(config.socket_settings, gateway.server_list_received)
     handle_reload_signal(loop, discovery, None)
     handle_stop_signals(loop, stop)
