Handle a client's commands only once its socket was found empty behind them

Cause: commands were handled as they were read, while more of the socket, and perhaps the client's end, was still unread. Change: after a read that fills the buffer, commands wait until the socket is found empty; those of a client that stays ahead for 32 such reads and 50 ms are rejected. With large bodies the end is seen since connections are always read on.

--- a/elderlock/net/client_connection.py
+++ b/elderlock/net/client_connection.py
@@ -26,6 +26,10 @@
 # Commands that are parsed and handled in one turn of a connection.
 MAX_PARSED_PER_TURN = 32
 MAX_HANDLED_PER_TURN = 4
+# Consecutive reads that fill the buffer, and the time (s) that they take, after which waiting commands are rejected:
+# the client sends faster than it is read, so its end would not be detected in time.
+MAX_FULL_READS = 32
+MAX_TIME_BEHIND_S = 0.05
 # Consecutive errors after which a connection is closed.
 MAX_CONSECUTIVE_ERRORS = 16
 # How long a client has to read its last answer and to close its side.
@@ -55,7 +59,8 @@
     answers, or has too many pending, its commands wait.
 
     The connection is always read on, as its end is only detected behind all that its client has sent: commands for
-    which there is no memory are rejected.
+    which there is no memory are rejected. A command is handled only once the socket has been read to its end, so that
+    it is not forwarded for a client that has gone.
 
     Attributes:
         has_sent_command: Whether the client has sent a complete command.
@@ -74,6 +79,9 @@
         self._buffer = listener.receive_buffer
         self._is_handling = False
         self._is_read_deferred = False
+        # Reads that filled the buffer since the socket was found empty, and the loop time of the first.
+        self._full_reads = 0
+        self._behind_since_s = 0.0
         self._is_write_blocked = False
         self._consecutive_errors = 0
         self._discarded_bytes = 0
@@ -128,7 +136,12 @@
             # The event loop would read on at once, up to many times, before it turns to other connections.
             self._defer_reading(True)
             self._commands.parse(MAX_PARSED_PER_TURN)
+            if not self._full_reads:
+                self._behind_since_s = now_s
+            self._full_reads += 1
             self._listener.scheduler.queue(self)
+        elif self._full_reads:
+            self._listener.scheduler.queue(self)  # the client's end may be next
         else:
             self._listener.scheduler.run(self)
 
@@ -145,9 +158,15 @@
     # Commands
 
     def _may_handle(self) -> bool:
-        """Whether a further command may be handled, rather than wait until answers are sent."""
+        """Whether a further command may be handled, rather than wait until answers are sent or more is read."""
         has_too_many_pending = self._is_write_blocked or len(self._pending_answers) >= MAX_PENDING_ANSWERS
-        return not has_too_many_pending and self._state is ConnectionState.OPEN
+        if has_too_many_pending or self._state is not ConnectionState.OPEN:
+            return False
+        return self._is_read_to_end() or self._commands.has_rejected_first()
+
+    def _is_read_to_end(self) -> bool:
+        """Whether neither the socket nor the parser had more when the connection was last read."""
+        return not self._full_reads and not self._commands.may_parse
 
     def run_turn(self) -> int:
         """Parse and handle a few of the received commands; return the cost of it for the scheduler."""
@@ -156,6 +175,8 @@
             return 0
         cost = PARSE_COST * self._commands.parse(MAX_PARSED_PER_TURN)
         self._defer_reading(self._commands.may_parse)
+        if self._full_reads and not self._commands.may_parse:
+            self._check_if_behind()
         cost += HANDLE_COST * self._handle_commands()
         error = self._commands.error
         if error is not None and not self._commands:
@@ -163,6 +184,16 @@
         self.close_if_done()
         return cost
 
+    def _check_if_behind(self) -> None:
+        """After reads that filled the buffer: find out whether more follows, for too long to let commands wait."""
+        if not self._has_unread_input():
+            self._full_reads = 0
+        elif (
+            self._full_reads >= MAX_FULL_READS
+            and self._listener.loop.time() - self._behind_since_s >= MAX_TIME_BEHIND_S
+        ):
+            self._commands.reject_waiting()
+
     def has_work(self) -> bool:
         """Whether a further turn could parse or handle something now."""
         if self._state is not ConnectionState.OPEN:
--- a/tests/pending_commands.py
+++ b/tests/pending_commands.py
@@ -93,3 +93,7 @@
                 return None
             self._parser.feed(data)
         return answer  # type: ignore[no-any-return]
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._socket.close()
--- a/tests/test_excess_input.py
+++ b/tests/test_excess_input.py
@@ -4,7 +4,13 @@
 
 import hiredis
 import pytest
-from pending_commands import answer_texts, expect_answers, send_up_to_pending_limit, unacknowledged_bytes
+from pending_commands import (
+    UnbufferedClient,
+    answer_texts,
+    expect_answers,
+    send_up_to_pending_limit,
+    unacknowledged_bytes,
+)
 from programs import record_outcomes
 from test_endings import answer_after, connection_of
 
@@ -21,6 +27,7 @@
 BODY_BYTES = 3000
 WRITES = 200
 LONG_BODY_BYTES = 64_000
+LONG_WRITES = 300  # far more than the kernel's buffers take
 
 
 def send_writes(client: Client, count: int = WRITES, body_bytes: int = BODY_BYTES) -> None:
@@ -70,6 +77,44 @@
     run(test())
 
 
+def test_disconnect_is_detected_behind_more_bytes_than_the_kernel_takes() -> None:
+    """Guards against: a client that goes with much unsent is seen to end only when its other commands are answered."""
+
+    async def test() -> None:
+        server = await Server(answers(None)).start()
+        limiter = await Limiter.start(server)
+        outcomes = record_outcomes(limiter)
+        client = await limiter.client()
+        send_up_to_pending_limit(client)
+        await until(lambda: len(server.commands) == 1 and connection_of(limiter)._commands.is_empty())
+        send_writes(client, LONG_WRITES, LONG_BODY_BYTES)
+        client.writer.close()  # sends the rest, and then the end
+        await expect_only_the_first_request(limiter, server, outcomes)
+
+    run(test())
+
+
+def test_commands_in_front_of_the_clients_end_are_not_forwarded() -> None:
+    """Guards against: a client sends more than one read takes and goes, and its first commands are sent on afterwards."""
+
+    async def test() -> None:
+        server = await Server().start()
+        limiter = await Limiter.start(server)
+        other = await limiter.client()
+        limiter.gateway.server_pools.reuse_delay_ms = 0.0
+        assert await other.ask("before") == b"value"  # leaves a connection to the server, to be used at once
+        client = UnbufferedClient(limiter.port)
+        await until(lambda: len(limiter.clients) == 2)
+        for number in range(3 * len(limiter.clients.receive_buffer) // BODY_BYTES):
+            client.send("API.WRITE", CUSTOMER, f"{number}", terms(), "x" * BODY_BYTES)
+        client.close()  # in the same step of the event loop, so that all of it lies in the socket
+        await until(lambda: len(limiter.clients) == 1)
+        assert [command[2] for command in server.commands] == [b"before"]
+        assert limiter.gateway.open_request_count == 0
+
+    run(test())
+
+
 def test_commands_that_find_no_memory_are_rejected_in_their_order() -> None:
     async def test() -> None:
         release = asyncio.Event()
@@ -135,6 +180,27 @@
     run(test())
 
 
+def test_client_that_is_never_read_to_the_end_is_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against: commands of a client that sends faster than it is read are forwarded after it has gone."""
+    monkeypatch.setattr("elderlock.net.client_connection.MAX_FULL_READS", 2)
+    monkeypatch.setattr("elderlock.net.client_connection.MAX_TIME_BEHIND_S", 0.0)
+
+    async def test() -> None:
+        server = await Server().start()
+        limiter = await Limiter.start(server)
+        client = await limiter.client()
+        await until(lambda: len(limiter.clients) == 1)
+        connection = connection_of(limiter)
+        monkeypatch.setattr(connection, "_has_unread_input", lambda: True)
+        buffer_bytes = len(limiter.clients.receive_buffer)
+        client.send("API.WRITE", CUSTOMER, "early", terms(), "x" * 3 * buffer_bytes)
+        client.send("API.WRITE", CUSTOMER, "late", terms(), "x" * 3 * buffer_bytes)
+        assert (await answer_texts(client, 1))[0] == "BUSY"
+        assert [command[2] for command in server.commands] in ([], [b"late"])
+
+    run(test())
+
+
 def test_half_close_behind_200_commands_ends_them_all() -> None:
     """A half-close counts as the client's end: nothing that waits behind the pending answers is forwarded."""
 
