Remember the ids of forwarded requests whose client has left or that must not run again

What callers saw: an id of a class that may not be repeated ran a second time when it came again after its client had left, while a server still worked on it or after it had. Cause: the id was free as soon as its client had left; that an attempt was written, and may take effect although it was cancelled, was remembered nowhere. An answer that was held back when its client left counts as executed unless it was a rejection. The id of an answered request is free as before if its class is idempotent.

--- a/elderlock/net/gateway.py
+++ b/elderlock/net/gateway.py
@@ -90,7 +90,7 @@
             self.now_ms,
             self._attempt_ended,
         )
-        self.requests = OpenRequests(config.socket_settings.max_open_requests, self.memory)
+        self.requests = OpenRequests(config.socket_settings, config.settings.request_classes, self.memory)
         self._authorised = AuthorisedRequests(loop, self.requests, self.server_pools, self.now_ms, self._submit)
         self._limiter = limiter_type(config.settings, config.seed, self.now_ms(), coordinator_type)
         self._events: deque[api.Event] = deque()
@@ -133,6 +133,7 @@
     def _sweep(self) -> None:
         self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)  # first, so that an error below does not end the sweeps
         self.server_pools.close_expired()
+        self.requests.ids.expire(self.now_ms())
 
     # Server lists
 
@@ -261,6 +262,7 @@
         """End a request whose client has disconnected."""
         request = self.requests.get(request_id)
         if request is not None and not request.is_answered:
+            request.is_abandoned = True
             self._finish(request, None)
             self._submit(api.ClientDisconnected(request_id))
 
--- a/elderlock/net/open_requests.py
+++ b/elderlock/net/open_requests.py
@@ -5,13 +5,19 @@
 import asyncio
 from collections.abc import Callable
 
+from elderlock import interface as api
 from elderlock.net.command import Command
 from elderlock.net.memory_budget import MemoryBudget
 from elderlock.net.request_ids import RequestIds
 from elderlock.net.server_connection import Attempt
+from elderlock.settings_reader import SocketSettings
 
 # Memory that a request uses in addition to its command, including the answer.
 REQUEST_OVERHEAD_BYTES = 1 << 13
+# Memory that a remembered id uses.
+REMEMBERED_ID_BYTES = 128
+# How long at least an id is remembered, unless there are too many.
+MIN_ID_MEMORY_MS = 10_000.0
 
 
 class Authorisation:
@@ -46,6 +52,7 @@
         arrived_at_ms: When it was accepted.
         memory_bytes: Memory that it uses.
         is_answered: Whether it has its final answer, or its client has disconnected.
+        is_abandoned: Whether its client has disconnected.
         authorisation: Set if the caller forwards the request itself.
         deadline_timer: Fails the request shortly before its client's wait ends.
     """
@@ -56,6 +63,7 @@
         "authorisation",
         "command",
         "deadline_timer",
+        "is_abandoned",
         "is_answered",
         "memory_bytes",
         "open_attempts",
@@ -79,9 +87,14 @@
         self.open_attempts = 0
         self.arrived_at_ms = arrived_at_ms
         self.is_answered = False
+        self.is_abandoned = False
         self.authorisation: Authorisation | None = None
         self.deadline_timer: asyncio.TimerHandle | None = None
 
+    def was_forwarded(self) -> bool:
+        """Whether an attempt was written to a server, which may have executed it."""
+        return any(attempt.is_sent for attempt in self.attempts)
+
     def cancel_deadline(self) -> None:
         """Stop the deadline's timer."""
         if self.deadline_timer is not None:
@@ -100,16 +113,24 @@
             called several times for each request.
     """
 
-    def __init__(self, max_count: int, memory: MemoryBudget) -> None:
+    def __init__(
+        self, settings: SocketSettings, request_classes: tuple[api.RequestClass, ...], memory: MemoryBudget
+    ) -> None:
         """Initialise an empty table.
 
         Args:
-            max_count: Maximum number of requests held at once.
+            settings: Maximum number of open requests, and the longest deadline.
+            request_classes: The request classes, by index.
             memory: The process's memory, of which it has a part.
         """
-        self.max_count = max_count
+        self.max_count = settings.max_open_requests
         self.free_bytes = float(memory.requests)
-        self.ids = RequestIds()
+        self.ids = RequestIds(
+            memory.remembered_ids // (2 * REMEMBERED_ID_BYTES), max(MIN_ID_MEMORY_MS, settings.longest_deadline_ms)
+        )
+        self._is_repeatable = [
+            request_class.idempotency is api.Idempotency.IDEMPOTENT for request_class in request_classes
+        ]
         self._requests: dict[str, PendingRequest] = {}
         self._last_number = 0
         self.get = self._requests.get
@@ -143,10 +164,17 @@
         )
 
     def remove_if_finished(self, request: PendingRequest) -> None:
-        """Remove a request if it is answered and has no open attempt."""
+        """Remove a request if it is answered and has no open attempt.
+
+        The id of a forwarded request is remembered if its client has left, or if it must not be executed again.
+        """
         if not request.is_answered or request.open_attempts != 0:
             return
         if self._requests.pop(request.request_id, None) is None:
             return
         self.free_bytes += request.memory_bytes
-        self.ids.release(request.command.client_request_id)
+        client_request_id = request.command.client_request_id
+        must_remember = request.is_abandoned or not self._is_repeatable[request.command.class_index]
+        if must_remember and request.was_forwarded():
+            self.ids.remember(client_request_id)
+        self.ids.release(client_request_id)
--- a/elderlock/net/pending_answers.py
+++ b/elderlock/net/pending_answers.py
@@ -6,6 +6,8 @@
 
 from elderlock.net.request_ids import RequestIds
 
+BUSY_PREFIX = b"-BUSY"
+
 
 class PendingAnswer:
     """An entry in a connection's queue of answers, which keeps the order of the commands.
@@ -23,6 +25,10 @@
         self.held_id = held_id
         self.request_id: str | None = None
 
+    def is_rejected(self) -> bool:
+        """Whether the answer says that the request was not executed."""
+        return self.answer is not None and self.answer.startswith(BUSY_PREFIX)
+
 
 class PendingAnswers:
     """A connection's queue of answers; an answer waits for those before it."""
@@ -57,14 +63,20 @@
         return b"".join(ready)
 
     def abandon(self) -> list[str]:
-        """Remove all answers, free their ids, and return the gateway's ids of the unanswered requests."""
+        """Remove all answers as the client has left, and return the gateway's ids of the unanswered requests.
+
+        The id of an answered request is remembered unless it was rejected: it may have been executed.
+        """
         abandoned = self._queue
         self._queue = deque()
+        unanswered = []
         for pending in abandoned:
+            if pending.answer is None and pending.request_id is not None:
+                unanswered.append(pending.request_id)
+            elif pending.held_id is not None and not pending.is_rejected():
+                self._request_ids.remember(pending.held_id)
             self._release_id(pending)
-        return [
-            pending.request_id for pending in abandoned if pending.request_id is not None and pending.answer is None
-        ]
+        return unanswered
 
     def _release_id(self, pending: PendingAnswer) -> None:
         if pending.held_id is not None:
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -11,7 +11,7 @@
 from elderlock.standins.clients import Client
 from elderlock.standins.local_limiter import Limiter
 from elderlock.standins.servers import Answer, Server, served
-from elderlock.standins.settings import CUSTOMER, terms
+from elderlock.standins.settings import CUSTOMER, target, terms
 from elderlock.standins.waiting import run, until
 
 OTHER_CUSTOMER = "00000000b4d65522"
@@ -97,8 +97,92 @@
     run(test())
 
 
+@pytest.mark.parametrize("may_cancel", [False, True])
+def test_id_of_a_forwarded_request_is_taken_after_its_client_has_left(may_cancel: bool) -> None:
+    """Guards against: a request that may not be repeated runs twice, as its id comes again after its client has left."""
+
+    async def test() -> None:
+        release = asyncio.Event()
+        server = await Server(answer_after(release)).start()
+        limiter = await Limiter.start(server, **{"may-cancel": may_cancel})
+        client = await limiter.client()
+        send_payment(client, "left")
+        await until(lambda: len(server.commands) == 1)
+        client.close()
+        await until(lambda: not len(limiter.clients) and limiter.gateway.open_request_count == 0)
+        await expect_taken(limiter, "left")
+        release.set()
+        await until(lambda: not len(limiter.gateway.requests))
+        await expect_taken(limiter, "left")
+        assert forwarded_ids(server) == [b"left"]
+
+    run(test())
+
+
+def test_id_of_an_answer_that_was_held_back_is_taken_after_its_client_has_left() -> None:
+    """Guards against: a request runs twice, as its client has left before its answer's turn came."""
+
+    async def test() -> None:
+        async def behave(command: list[bytes]) -> Answer:
+            return None if command[2] == b"slow" else served(b"value")
+
+        server = await Server(behave).start()
+        limiter = await Limiter.start(server)
+        client = await limiter.client()
+        send_payment(client, "slow")
+        send_payment(client, "quick")
+        await until(lambda: len(server.commands) == 2 and limiter.gateway.open_request_count == 1)
+        client.close()
+        await until(lambda: not len(limiter.clients) and not len(limiter.gateway.requests.ids))
+        await expect_taken(limiter, "quick")
+        await expect_taken(limiter, "slow")
+        assert sorted(forwarded_ids(server)) == [b"quick", b"slow"]
+
+    run(test())
+
+
+def test_id_of_an_answered_request_is_free_only_if_its_class_may_be_repeated() -> None:
+    async def test() -> None:
+        server = await Server().start()
+        limiter = await Limiter.start(server)
+        client = await limiter.client()
+        assert await client.ask("read") == b"value"
+        assert await client.ask("read") == b"value"
+        send_payment(client, "paid")
+        assert await client.answer() == b"value"
+        await expect_taken(limiter, "paid")
+        assert forwarded_ids(server) == [b"read", b"read", b"paid"]
+
+    run(test())
+
+
+def test_id_of_a_request_that_was_not_forwarded_is_free_after_its_answer() -> None:
+    async def test() -> None:
+        limiter = await Limiter.start()
+        client = await limiter.client()
+        assert str(await client.ask("rejected")).startswith("BUSY")
+        server = await Server().start()
+        limiter.tell(target("s-0", server.endpoint))
+        assert await client.ask("rejected") == b"value"
+
+    run(test())
+
+
+def test_remembered_ids_are_forgotten_after_two_generations_or_when_they_are_too_many() -> None:
+    ids = RequestIds(max_remembered=2, generation_ms=100.0)
+    for request_id in (b"a", b"b"):
+        ids.remember(request_id)
+    ids.expire(now_ms=1000.0)
+    ids.expire(now_ms=1099.0)  # the new generation is not over
+    assert not ids.hold(b"a") and not ids.hold(b"b")
+    for request_id in (b"c", b"d", b"e"):  # the third ends the generation
+        ids.remember(request_id)
+    assert ids.remembered_count == 3
+    assert ids.hold(b"a") and not ids.hold(b"c") and not ids.hold(b"e")
+
+
 def test_id_has_several_holders_and_is_free_after_the_last() -> None:
-    ids = RequestIds()
+    ids = RequestIds(max_remembered=2, generation_ms=100.0)
     assert ids.hold(b"a")
     ids.share(b"a")
     ids.release(b"a")
