Limit the number of customers' accounts, and close those that are as good as new first

What callers saw: while one client sent requests under ever new names, memory grew by some 15 MB a second without end. Cause: each request opened an account, also one that was rejected at once, and their number had no limit. Change: at most as many accounts as a part of the memory budget holds; at the limit one is closed that allows its customer no more than a new one would, otherwise the request is rejected and that is logged.

--- a/elderlock/decisions/admission.py
+++ b/elderlock/decisions/admission.py
@@ -99,6 +99,9 @@
         if event.request_id in self._requests:
             return
         account = self._quotas.account(event)
+        if account is None:
+            self._reject_new_customer(event)
+            return
         request_class = settings.request_classes[event.class_index]
         self._arrivals += 1
         request = OpenRequest(event, request_class, account, context.now_ms)
@@ -110,6 +113,14 @@
         elif self._passes_overload_checks(request, is_within_quota=True):
             self.quota_coordinator.request_quota_decision(request)
 
+    def _reject_new_customer(self, event: api.RequestArrived) -> None:
+        """Reject a request whose customer has no account, and for which none can be opened."""
+        context = self.context
+        context.actions.append(api.Reject(event.request_id))
+        limit = self._quotas.account_limit
+        if limit.should_log(context.now_ms):
+            context.actions.append(api.Log(f"requests of new customers are rejected: {limit.max_accounts} accounts"))
+
     def apply_quota_decision(self, request: OpenRequest, is_within_quota: bool) -> None:
         """Continue with a request after the quota coordinator has decided whether it is within its quota."""
         request.is_within_quota = is_within_quota
--- a/elderlock/decisions/quotas.py
+++ b/elderlock/decisions/quotas.py
@@ -16,6 +16,7 @@
 from math import exp
 
 from elderlock import interface as api
+from elderlock.decisions.account_limit import AccountLimit
 from elderlock.decisions.context import MS_PER_SECOND, DecisionContext
 from elderlock.state import Account, OpenRequest
 from elderlock.structures.expiry_queue import ExpiryQueue
@@ -25,6 +26,7 @@
 ACCOUNT_IDLE_MS = 15000.0  # the time without a request after which an account may be removed
 CEILING_SLACK_FRACTION = 0.8  # the part of the hard ceiling's slack that is used; the rest is left for rounding errors
 MEAN_REQUEST_WEIGHT = 0.1  # the weight of a request in the moving average of units
+ROUNDING_UNITS = 1e-6
 MIN_READING_INTERVAL_MS = MS_PER_SECOND / 2
 CONCURRENCY_ROUNDING = 0.5  # rounds the estimated number of requests in flight at other limiters
 
@@ -39,6 +41,7 @@
         context: The state that the limiter's components share.
         accounts: The accounts by customer key.
         idle_accounts: The customer keys in the order of their last request.
+        account_limit: Limits the number of accounts.
         mean_latency_ms: The moving average of the latency of successful answers.
     """
 
@@ -47,18 +50,25 @@
         self.context = context
         self.accounts: dict[int, Account] = {}
         self.idle_accounts = ExpiryQueue(ACCOUNT_IDLE_MS)
+        self.account_limit = AccountLimit()
         self.mean_latency_ms = 0.0
 
-    def account(self, event: api.RequestArrived) -> Account:
-        """Return the account of a request's customer, refilled up to now; open it if there is none."""
+    def account(self, event: api.RequestArrived) -> Account | None:
+        """Return the account of a request's customer, refilled up to now; open it if there is none.
+
+        The result is None if there are too many accounts, and none of a few others is as good as new.
+        """
         settings = self.context.settings
         key = zlib.crc32(event.customer_id.encode())
         plan = settings.plans[event.plan_index]
         limiter_count = min(max(1, event.limiter_count), settings.limiter_count)
         account = self.accounts.get(key)
         if account is None:
+            if len(self.accounts) >= self.account_limit.max_accounts and not self._close_replaceable():
+                return None
             account = self._open_account(key, plan, limiter_count, event.first_limiter)
             self.accounts[key] = account
+            self.account_limit.record_opened(key)
         self.idle_accounts.touch(key, self.context.now_ms)
         if account.plan is not plan:
             account.plan = plan
@@ -90,6 +100,21 @@
             averaging_ms=RATE_AVERAGING_MS,
         )
 
+    def _close_replaceable(self) -> bool:
+        """Close an account that is as good as new; return whether there was one."""
+        for key in self.account_limit.candidates(self.idle_accounts.recent):
+            account = self.accounts.get(key)
+            if account is None:
+                continue
+            self.refresh(account)
+            new = self._open_account(key, account.plan, account.limiter_count, account.first_limiter)
+            if _allows_as_much(account, new, self.context.now_ms):
+                del self.accounts[key]
+                self.idle_accounts.forget(key)
+                self.account_limit.record_closed(key)
+                return True
+        return False
+
     def reading_confidence(self, account: Account) -> float:
         """Return the confidence in the latest reading, from 0 to 1.
 
@@ -182,7 +207,10 @@
 
     def charge(self, request: OpenRequest) -> None:
         """Charge an admitted request's units, and update the rates of its customer."""
+        if self.accounts.get(request.account.key) is not request.account:
+            self._replace_closed_account(request)
         account = request.account
+        self.account_limit.record_charged(account.key)
         units = request.arrival.units
         now_ms = self.context.now_ms
         account.ceiling_units -= units
@@ -197,6 +225,12 @@
             account.shared_units -= units
             account.bucket_units -= units
 
+    def _replace_closed_account(self, request: OpenRequest) -> None:
+        """Use the account that took the place of the request's account, or open that one again."""
+        key = request.account.key
+        request.account = self.accounts.setdefault(key, request.account)
+        self.idle_accounts.touch(key, self.context.now_ms)
+
     def refund(self, request: OpenRequest) -> None:
         """Refund the units of a permit that its client did not use.
 
@@ -255,6 +289,19 @@
                 self.idle_accounts.postpone(key, full_at_ms + 1.0)
             else:
                 del self.accounts[key]
+                self.account_limit.record_closed(key)
+
+
+def _allows_as_much(account: Account, new: Account, now_ms: float) -> bool:
+    """Whether a new account would not allow its customer more than the present one."""
+    has_ceiling = account.plan.ceiling_rate_per_s > 0
+    return (
+        account.in_flight == 0
+        and account.exhausted_until_ms <= now_ms
+        and account.shared_units >= new.shared_units - ROUNDING_UNITS
+        and account.bucket_units >= new.bucket_units - ROUNDING_UNITS
+        and (not has_ceiling or account.ceiling_units >= new.ceiling_units - ROUNDING_UNITS)
+    )
 
 
 def _full_at_ms(account: Account) -> float:
--- a/elderlock/net/gateway.py
+++ b/elderlock/net/gateway.py
@@ -30,6 +30,8 @@
 DEADLINE_MARGIN_MS = 25.0
 SWEEP_INTERVAL_S = 1.0
 DEFAULT_LATENCY_OBJECTIVE_MS = 1000.0
+# Memory that a customer's account uses.
+ACCOUNT_BYTES = 1 << 11
 MIN_RETRY_AFTER_MS = 1.0
 FAILED_ANSWER = b"-ERR failed\r\n"
 BUSY_ANSWER = b"-BUSY\r\n"
@@ -93,6 +95,7 @@
         self.requests = OpenRequests(config.socket_settings, config.settings.request_classes, self.memory)
         self._authorised = AuthorisedRequests(loop, self.requests, self.server_pools, self.now_ms, self._submit)
         self._limiter = limiter_type(config.settings, config.seed, self.now_ms(), coordinator_type)
+        self._limiter.quotas.account_limit.max_accounts = self.memory.accounts // ACCOUNT_BYTES
         self._events: deque[api.Event] = deque()
         self._is_handling = False
         self._is_ending = False
--- a/elderlock/net/memory_budget.py
+++ b/elderlock/net/memory_budget.py
@@ -15,6 +15,7 @@
 REQUEST_FRACTION = 0.3
 INPUT_FRACTION = 0.1
 REMEMBERED_ID_FRACTION = 0.02
+ACCOUNT_FRACTION = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,11 +26,13 @@
         requests: For open requests.
         input: For what clients have sent and is not handled yet, beyond a small share of each connection.
         remembered_ids: For the ids of requests that have ended.
+        accounts: For customers' accounts.
     """
 
     requests: int
     input: int
     remembered_ids: int
+    accounts: int
 
     @classmethod
     def of(cls, memory_mb: float, program_mb: float = DEFAULT_PROGRAM_MB) -> MemoryBudget:
@@ -45,6 +48,7 @@
             requests=int(usable_bytes * REQUEST_FRACTION),
             input=int(usable_bytes * INPUT_FRACTION),
             remembered_ids=int(usable_bytes * REMEMBERED_ID_FRACTION),
+            accounts=int(usable_bytes * ACCOUNT_FRACTION),
         )
 
 
--- a/elderlock/structures/expiry_queue.py
+++ b/elderlock/structures/expiry_queue.py
@@ -34,6 +34,11 @@
         self.recent[key] = now_ms
         self.recent.move_to_end(key)
 
+    def forget(self, key: int) -> None:
+        """Remove `key`, which does not expire any more."""
+        self.recent.pop(key, None)
+        self.postponed.pop(key, None)
+
     def pop_expired(self, now_ms: float) -> list[int]:
         """Remove and return the keys that have expired; the caller forgets or postpones each of them."""
         expired = []
--- a/tests/escrow_histories.py
+++ b/tests/escrow_histories.py
@@ -46,6 +46,7 @@
         self.context.now_ms = now_ms
         event = api.RequestArrived("r", 0, 0, customer, units, now_ms + 1000.0, MEMBER_COUNT, FIRST)
         account = self.quotas.account(event)
+        assert account is not None
         if self.quotas.exceeds_hard_ceiling(account, units):
             return False
         self.quotas.charge(OpenRequest(event, IDEMPOTENT_CLASS, account, now_ms))
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -6,6 +6,7 @@
 
 ROOT = Path(__file__).parent.parent
 DECISIONS = (
+    "account_limit",
     "admission",
     "attempts",
     "context",
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -21,6 +21,9 @@
 MEMORY_MB = 64
 CLIENTS = 300
 WAVES = 5
+MEMORY_MB_OF_NEW_CUSTOMERS = 48
+NEW_CUSTOMERS = 25_000
+CUSTOMERS_AT_ONCE = 100
 KB_PER_MB = 1024
 LARGE_COMMAND: bytes = hiredis.pack_command(("API.WRITE", CUSTOMER, "large", terms(), "x" * 65_000))  # type: ignore[arg-type]
 HALF_A_COMMAND = LARGE_COMMAND[:-100]
@@ -60,6 +63,29 @@
     run(test())
 
 
+def test_process_stays_within_its_limit_under_requests_of_ever_new_customers(tmp_path: Path) -> None:
+    """Guards against: memory grows with each new name while one client sends rejected requests at full speed."""
+
+    async def test() -> None:
+        server = await Server().start()
+        agent = await Discovery({"rev": 1, "all": True, "targets": [target("s", server.endpoint)]}).start()
+        port = free_port()
+        raw = raw_config(f"127.0.0.1:{port}", "%s:%d" % agent.address)
+        raw["limits"]["memory_mb"] = MEMORY_MB_OF_NEW_CUSTOMERS
+        process = await start_program(tmp_path / "config.json", raw)
+        client = await connect_when_ready(port)
+        for first in range(0, NEW_CUSTOMERS, CUSTOMERS_AT_ONCE):
+            for number in range(first, first + CUSTOMERS_AT_ONCE):
+                client.send("API.READ", f"{number:016x}", f"{number}", terms(t="tiny", units=4))
+            for _ in range(CUSTOMERS_AT_ONCE):
+                assert "BUSY" in str(await client.answer())
+        assert peak_memory_mb(process.pid) < MEMORY_MB_OF_NEW_CUSTOMERS
+        process.kill()
+        await process.wait()
+
+    run(test())
+
+
 def test_input_of_a_closed_connection_is_freed_without_garbage_collection() -> None:
     """Guards against: connections that have ended keep what they received until the collector happens to run."""
 
@@ -85,5 +111,5 @@
 def test_parts_of_the_budget_leave_room_for_the_program(memory_mb: float) -> None:
     for program_mb in (15.0, 27.0, 500.0):
         budget = MemoryBudget.of(memory_mb, program_mb)
-        held_mb = (budget.requests + 2 * budget.input + 2 * budget.remembered_ids) / 2**20
+        held_mb = (budget.requests + 2 * budget.input + budget.remembered_ids + budget.accounts) / 2**20
         assert 0 < held_mb <= max(memory_mb - program_mb, memory_mb / 8)
