Prefer a server that runs to one that drains at the same address, whatever their start times

The only server got no request. Cause: of two servers at an address the one with the earlier start time was dropped, and with equal times (0, long ago) the one that had the address: a later word on the draining server removed the running one. Change: a server that drains or is gone is older than one that runs; such entries of a list are applied first.

--- a/elderlock/net/server_pool.py
+++ b/elderlock/net/server_pool.py
@@ -177,7 +177,8 @@
             for server_id in [pool_id for pool_id in self._pools if pool_id not in listed_ids]:
                 self._remove(server_id)
         replaced = []
-        for server in listed.servers:
+        # Servers that drain or are gone come first: one of them may have the address of a server that runs.
+        for server in sorted(listed.servers, key=lambda server: server.entry.state is ServerState.RUNNING):
             server_id = server.entry.server_id
             if server.entry.state is ServerState.REMOVED:
                 if server_id in self._pools:
@@ -194,11 +195,17 @@
         return replaced
 
     def _older_at_address(self, listed: ListedServer) -> ServerEntry | None:
-        """Return the older of two servers with the same address, or None if only this one has the address."""
+        """Return the older of two servers with the same address, or None if only this one has the address.
+
+        A server that drains or is gone is older than one that runs, whatever their start times: those are 0 for servers
+        that started long ago, also for one that has only now taken the address.
+        """
         other = self._by_address.get(listed.address)
         if other is None or other is self._pools.get(listed.entry.server_id):
             return None
-        return min(other.entry, listed.entry, key=lambda entry: entry.started_at_ms)
+        is_running = listed.entry.state is ServerState.RUNNING
+        other_age = (not other.is_draining, other.entry.started_at_ms)
+        return listed.entry if (is_running, listed.entry.started_at_ms) < other_age else other.entry
 
     def _apply_server(self, listed: ListedServer) -> None:
         server_id = listed.entry.server_id
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -198,6 +198,32 @@
     run(test())
 
 
+@pytest.mark.parametrize("old_boot_ms", [0.0, 1e12])
+@pytest.mark.parametrize("new_boot_ms", [0.0, 1.5e12])
+@pytest.mark.parametrize("is_old_listed_first", [False, True])
+def test_running_server_at_the_address_of_a_draining_one_gets_the_requests(
+    old_boot_ms: float, new_boot_ms: float, is_old_listed_first: bool
+) -> None:
+    """Guards against: a server is taken for one that has gone from its address, as its start time is not later."""
+
+    async def test() -> None:
+        server = await Server().start()
+        limiter = await Limiter.start()
+        limiter.tell(target("old", server.endpoint, boot_ms=old_boot_ms))
+        entries = [
+            target("old", server.endpoint, "draining", old_boot_ms),
+            target("new", server.endpoint, boot_ms=new_boot_ms),
+        ]
+        limiter.tell(*(entries if is_old_listed_first else reversed(entries)))
+        client = await limiter.client()
+        assert await client.ask("x") == b"value"
+        assert list(limiter.gateway.server_pools.endpoints()) == ["new"]
+        limiter.tell(target("old", server.endpoint, "draining", old_boot_ms), complete=False)  # told once more
+        assert await client.ask("y") == b"value"
+
+    run(test())
+
+
 def test_idle_connections_close_before_the_keepalive_ends_and_on_a_drain() -> None:
     async def test() -> None:
         server = await Server().start()
