Let a complete command take the room of a stalled one, and count input with fewer calls

Cause: a complete command that found no memory was rejected even if an incomplete one had stalled, where the last read was large enough to complete it; the bookkeeping of input cost some calls on every request. Change: InputBudget.has_room discards stalled commands first; counts are kept in place, and an incomplete command is listed only while it exceeds its share.

--- a/elderlock/net/client_connection.py
+++ b/elderlock/net/client_connection.py
@@ -117,7 +117,9 @@
     def get_buffer(self, _sizehint: int) -> memoryview:
         """Return the buffer that all connections share, or a small part of it while memory for input is scarce."""
         listener = self._listener
-        self._buffer = listener.small_receive_buffer if listener.input_budget.is_scarce() else listener.receive_buffer
+        budget = listener.input_budget
+        is_scarce = budget.used_bytes > budget.scarce_above_bytes
+        self._buffer = listener.small_receive_buffer if is_scarce else listener.receive_buffer
         return self._buffer
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -174,12 +176,13 @@
             self._defer_reading(False)
             return 0
         cost = PARSE_COST * self._commands.parse(MAX_PARSED_PER_TURN)
-        self._defer_reading(self._commands.may_parse)
+        if self._commands.may_parse != self._is_read_deferred:
+            self._defer_reading(self._commands.may_parse)
         if self._full_reads and not self._commands.may_parse:
             self._check_if_behind()
         cost += HANDLE_COST * self._handle_commands()
         error = self._commands.error
-        if error is not None and not self._commands:
+        if error is not None and not self._commands.waiting:
             self.close_with_error(f"Protocol error: {error}")
         self.close_if_done()
         return cost
@@ -198,14 +201,15 @@
         """Whether a further turn could parse or handle something now."""
         if self._state is not ConnectionState.OPEN:
             return False
-        return self._commands.may_parse or (bool(self._commands) and self._may_handle())
+        return self._commands.may_parse or (bool(self._commands.waiting) and self._may_handle())
 
     def _handle_commands(self) -> int:
         """Handle a few waiting commands while few enough answers are pending; return their number."""
         count = 0
         self._is_handling = True
         try:
-            while self._commands and count < MAX_HANDLED_PER_TURN and self._may_handle():
+            waiting = self._commands.waiting
+            while waiting and count < MAX_HANDLED_PER_TURN and self._may_handle():
                 self._handle_command(self._commands.next_command())
                 count += 1
         finally:
@@ -360,7 +364,7 @@
 
     def is_answered(self) -> bool:
         """Whether no command that was read is to be handled or answered, and all answers have been sent."""
-        has_commands = self._is_handling or bool(self._commands) or self._commands.may_parse
+        has_commands = self._is_handling or bool(self._commands.waiting) or self._commands.may_parse
         is_handling = has_commands or bool(self._pending_answers)
         return not is_handling and self._state is ConnectionState.OPEN and self.is_flushed()
 
@@ -387,6 +391,6 @@
 
     def _waits_for_command(self) -> bool:
         """Whether the connection waits for its first command or for the rest of a command."""
-        if self._commands or self._commands.may_parse or self._has_unread_input():
+        if self._commands.waiting or self._commands.may_parse or self._has_unread_input():
             return False
         return not self.has_sent_command or self._commands.has_partial_command()
--- a/elderlock/net/command_queue.py
+++ b/elderlock/net/command_queue.py
@@ -55,6 +55,7 @@
     which there is no memory is rejected, so that its connection can be read on: only then is the client's end detected.
 
     Attributes:
+        waiting: The commands that wait to be handled, the oldest first.
         error: Why the bytes behind the waiting commands cannot be parsed; None while they can.
         may_parse: Whether complete commands may remain to be parsed.
     """
@@ -69,24 +70,21 @@
         self._request_ids = request_ids
         self._budget = budget
         self._reader = CommandReader()
-        self._waiting: deque[WaitingCommand | RejectedCommands] = deque()
+        self.waiting: deque[WaitingCommand | RejectedCommands] = deque()
         self._waiting_bytes = 0
         self._incomplete_bytes = 0
+        self._is_listed_as_incomplete = False
         self._fed_at_s = 0.0
         self.error: ProtocolError | None = None
         self.may_parse = False
 
-    def __len__(self) -> int:
-        """Return the number of entries that wait; consecutive rejected commands are one entry."""
-        return len(self._waiting)
-
     def has_rejected_first(self) -> bool:
         """Whether the next commands to be handled were rejected."""
-        return bool(self._waiting) and isinstance(self._waiting[0], RejectedCommands)
+        return bool(self.waiting) and isinstance(self.waiting[0], RejectedCommands)
 
     def is_empty(self) -> bool:
         """Whether nothing has been received that is not handled."""
-        return not self._waiting and not self.has_partial_command()
+        return not self.waiting and not self.has_partial_command()
 
     def unhandled_bytes(self) -> int:
         """Return the memory of what is received and not handled."""
@@ -107,14 +105,16 @@
             self._reader.feed(data)
             self._fed_at_s = now_s
             self.may_parse = True
-            self._set_incomplete_bytes(self._incomplete_bytes + len(data))
+            self._incomplete_bytes += len(data)
+            self._budget.used_bytes += len(data)
 
     def parse(self, max_commands: int) -> int:
         """Parse up to `max_commands` complete commands, and return their number."""
         if not self.may_parse:
             return 0
         count = 0
-        self._set_incomplete_bytes(0)  # a command that is complete now is counted as such
+        self._budget.used_bytes -= self._incomplete_bytes  # a command that is complete now is counted as such
+        self._incomplete_bytes = 0
         try:
             while count < max_commands:
                 arguments = self._reader.next_message()
@@ -129,13 +129,13 @@
             self._reader.clear()
         if self._reader.pending_bytes():
             self._count_incomplete()
-        else:
-            self._budget.incomplete_command_ended(self)
+        elif self._is_listed_as_incomplete:
+            self._end_incomplete()
         return count
 
     def _append(self, arguments: list[bytes]) -> None:
         size_bytes = COMMAND_OVERHEAD_BYTES + sum(map(len, arguments))
-        if not arguments or not self._budget.has_room(self._waiting_bytes, size_bytes):
+        if not arguments or not self._budget.has_room(self._waiting_bytes, size_bytes, self._fed_at_s):
             self._append_rejected()
             return
         verb = arguments[0].upper()
@@ -144,26 +144,31 @@
             request_id = arguments[REQUEST_ID_INDEX]
             if self._request_ids.hold(request_id):
                 held_id = request_id
-        self._waiting.append(WaitingCommand(verb, arguments, self._fed_at_s, held_id, size_bytes))
+        self.waiting.append(WaitingCommand(verb, arguments, self._fed_at_s, held_id, size_bytes))
         self._waiting_bytes += size_bytes
         self._budget.used_bytes += size_bytes
 
     def _append_rejected(self) -> None:
         self._budget.rejected_count += 1
-        last = self._waiting[-1] if self._waiting else None
+        last = self.waiting[-1] if self.waiting else None
         if isinstance(last, RejectedCommands):
             last.count += 1
         else:
-            self._waiting.append(RejectedCommands(1))
+            self.waiting.append(RejectedCommands(1))
 
     def _count_incomplete(self) -> None:
         """Count the bytes of the incomplete command, and make room if they are too many."""
         self._set_incomplete_bytes(self._reader.held_bytes())
         if self.may_parse or self._waiting_bytes + self._incomplete_bytes <= self._budget.share_bytes:
-            self._budget.incomplete_command_ended(self)
+            self._end_incomplete()
         elif not self._reader.is_discarding:
+            self._is_listed_as_incomplete = True
             self._budget.incomplete_command_grew(self, self._fed_at_s)
 
+    def _end_incomplete(self) -> None:
+        self._is_listed_as_incomplete = False
+        self._budget.incomplete_command_ended(self)
+
     def _set_incomplete_bytes(self, incomplete_bytes: int) -> None:
         self._budget.resize(self._incomplete_bytes, incomplete_bytes)
         self._incomplete_bytes = incomplete_bytes
@@ -175,11 +180,11 @@
 
     def next_command(self) -> WaitingCommand | RejectedCommands:
         """Remove and return the first waiting command, or a number of rejected ones; a held id passes to the caller."""
-        first = self._waiting[0]
+        first = self.waiting[0]
         if isinstance(first, RejectedCommands) and first.count > MAX_REJECTED_AT_ONCE:
             first.count -= MAX_REJECTED_AT_ONCE
             return RejectedCommands(MAX_REJECTED_AT_ONCE)
-        self._waiting.popleft()
+        self.waiting.popleft()
         if isinstance(first, WaitingCommand):
             self._waiting_bytes -= first.size_bytes
             self._budget.used_bytes -= first.size_bytes
@@ -188,16 +193,16 @@
     def reject_waiting(self) -> None:
         """Reject all waiting commands; they are still answered in their order."""
         rejected = RejectedCommands(0)
-        for command in self._waiting:
+        for command in self.waiting:
             if isinstance(command, RejectedCommands):
                 rejected.count += command.count
             else:
                 self._release(command)
                 self._budget.rejected_count += 1
                 rejected.count += 1
-        self._waiting.clear()
+        self.waiting.clear()
         if rejected.count:
-            self._waiting.append(rejected)
+            self.waiting.append(rejected)
 
     def _release(self, command: WaitingCommand) -> None:
         self._waiting_bytes -= command.size_bytes
@@ -207,11 +212,11 @@
 
     def clear(self) -> None:
         """Drop everything, and release the ids that the waiting commands hold."""
-        for command in self._waiting:
+        for command in self.waiting:
             if isinstance(command, WaitingCommand):
                 self._release(command)
-        self._waiting.clear()
+        self.waiting.clear()
         self._reader.clear()
         self.may_parse = False
         self._set_incomplete_bytes(0)
-        self._budget.incomplete_command_ended(self)
+        self._end_incomplete()
--- a/elderlock/net/input_budget.py
+++ b/elderlock/net/input_budget.py
@@ -25,6 +25,7 @@
 
     Attributes:
         share_bytes: The bytes that each connection may hold in any case.
+        scarce_above_bytes: While more bytes than this are held, connections should be read in small pieces.
         used_bytes: The bytes that are held now.
         rejected_count: Number of commands rejected so far.
         discarded_count: Number of incomplete commands discarded so far.
@@ -38,6 +39,7 @@
             max_connections: Maximum number of connections; their shares together are as much as the limit.
         """
         self._max_bytes = max_bytes
+        self.scarce_above_bytes = max_bytes // 2
         self.share_bytes = max_bytes // max_connections
         self.used_bytes = 0
         self.rejected_count = 0
@@ -45,30 +47,43 @@
         # Loop time at which the incomplete command of each holder grew, the longest ago first.
         self._incomplete: OrderedDict[InputHolder, float] = OrderedDict()
 
-    def is_scarce(self) -> bool:
-        """Whether connections should be read in small pieces."""
-        return 2 * self.used_bytes > self._max_bytes
-
     def resize(self, old_bytes: int, new_bytes: int) -> None:
         """Count a connection's bytes anew."""
         self.used_bytes += new_bytes - old_bytes
 
-    def has_room(self, connection_bytes: int, additional_bytes: int) -> bool:
-        """Whether a connection that holds `connection_bytes` may store `additional_bytes` more."""
-        is_within_share = connection_bytes + additional_bytes <= self.share_bytes
-        return is_within_share or self.used_bytes + additional_bytes <= self._max_bytes
+    def has_room(self, connection_bytes: int, additional_bytes: int, now_s: float) -> bool:
+        """Whether a connection that holds `connection_bytes` may store `additional_bytes` more.
+
+        Incomplete commands that have stalled are discarded to make room.
+        """
+        while self.used_bytes + additional_bytes > self._max_bytes:
+            if connection_bytes + additional_bytes <= self.share_bytes:
+                return True
+            if not self._discard_stalled(now_s):
+                return False
+        return True
 
     def incomplete_command_grew(self, holder: InputHolder, now_s: float) -> None:
         """Record that an incomplete command beyond its connection's share has grown, and make room if there is none."""
         self._incomplete[holder] = now_s
         self._incomplete.move_to_end(holder)
         while self.used_bytes > self._max_bytes and holder in self._incomplete:
-            oldest, grew_at_s = next(iter(self._incomplete.items()))
-            is_stalled = now_s - grew_at_s >= STALLED_AFTER_S
-            discarded = oldest if is_stalled else holder
-            del self._incomplete[discarded]
-            self.discarded_count += 1
-            discarded.discard_partial_command()
+            if not self._discard_stalled(now_s):
+                self._discard(holder)
+
+    def _discard_stalled(self, now_s: float) -> bool:
+        """Discard the longest stalled command; return whether there was one."""
+        for holder, grew_at_s in self._incomplete.items():
+            if now_s - grew_at_s >= STALLED_AFTER_S:
+                self._discard(holder)
+                return True
+            break
+        return False
+
+    def _discard(self, holder: InputHolder) -> None:
+        del self._incomplete[holder]
+        self.discarded_count += 1
+        holder.discard_partial_command()
 
     def incomplete_command_ended(self, holder: InputHolder) -> None:
         """Stop counting an incomplete command: it is complete, within the share of its connection, or dropped."""
