--- a/elderlock/net/client_connection.py
+++ b/elderlock/net/client_connection.py
@@ -347,6 +347,12 @@
 
     # For the listener
 
+    def reject_commands(self) -> None:
+        """Reject the commands that wait to be handled and all further ones, because the process is about to end."""
+        self._commands.rejects_all = True
+        self._commands.reject_waiting()
+        self._schedule_turn()
+
     def unhandled_bytes(self) -> int:
         """Return the memory of what has been received and not handled."""
         return self._commands.unhandled_bytes()
--- a/elderlock/net/client_listener.py
+++ b/elderlock/net/client_listener.py
@@ -239,6 +239,8 @@
             connection.close_if_done()  # including connections opened during the wait that were never used
         if not await self._wait_until_empty(ends_at_s - self.loop.time()):
             self.gateway.end_requests()
+            for connection in [*self._used, *self._unused]:
+                connection.reject_commands()
             await self._wait_until_empty(FLUSH_TIMEOUT_S)
             for connection in [*self._used, *self._unused]:
                 connection.log_unanswered(CloseReason.PROCESS_END)
--- a/elderlock/net/command_queue.py
+++ b/elderlock/net/command_queue.py
@@ -58,6 +58,7 @@
         waiting: The commands that wait to be handled, the oldest first.
         error: Why the bytes behind the waiting commands cannot be parsed; None while they can.
         may_parse: Whether complete commands may remain to be parsed.
+        rejects_all: Whether further commands are rejected as they are parsed.
     """
 
     def __init__(self, request_ids: RequestIds, budget: InputBudget) -> None:
@@ -77,6 +78,7 @@
         self._fed_at_s = 0.0
         self.error: ProtocolError | None = None
         self.may_parse = False
+        self.rejects_all = False
 
     def has_rejected_first(self) -> bool:
         """Whether the next commands to be handled were rejected."""
@@ -135,7 +137,8 @@
 
     def _append(self, arguments: list[bytes]) -> None:
         size_bytes = COMMAND_OVERHEAD_BYTES + sum(map(len, arguments))
-        if not arguments or not self._budget.has_room(self._waiting_bytes, size_bytes, self._fed_at_s):
+        is_rejected = not arguments or self.rejects_all
+        if is_rejected or not self._budget.has_room(self._waiting_bytes, size_bytes, self._fed_at_s):
             self._append_rejected()
             return
         verb = arguments[0].upper()
--- a/tests/test_shutdown_commands.py
+++ b/tests/test_shutdown_commands.py
@@ -22,6 +22,7 @@
 from test_endings import connection_of
 
 from elderlock.net import client_listener
+from elderlock.net.client_connection import MAX_PENDING_ANSWERS
 from elderlock.standins.clients import Client
 from elderlock.standins.discovery import Discovery
 from elderlock.standins.local_limiter import Limiter
@@ -31,6 +32,8 @@
 
 LONG_TIME_S = 10000.0
 HOLD_UP_S = 0.12
+SHUTDOWN_CLIENTS = 15
+SHUTDOWN_COMMANDS = 800
 
 
 def send_write(client: Client, name: str, request_class: str) -> None:
@@ -57,6 +60,30 @@
     run(test())
 
 
+def test_thousands_of_waiting_commands_are_rejected_at_the_end_of_a_drain() -> None:
+    """Guards against: commands take turns, and the process ends before the turns of all that wait have come."""
+
+    async def test() -> None:
+        server = await Server(answers(None)).start()
+        limiter = await Limiter.start(server)
+        clients = [await limiter.client() for _ in range(SHUTDOWN_CLIENTS)]
+        for index, client in enumerate(clients):
+            client.read(f"first-{index}")
+            for _ in range(MAX_PENDING_ANSWERS - 1):
+                client.send("PING")
+            for number in range(SHUTDOWN_COMMANDS):
+                client.read(f"behind-{index}-{number}")
+        await until(lambda: all(not unacknowledged_bytes(client.writer) for client in clients))
+        await limiter.clients.drain(accept_for_s=0.0, time_limit_s=0.0)
+        assert not limiter.clients._used  # the process would end now
+        for client in clients:
+            texts = await answer_texts(client, MAX_PENDING_ANSWERS + SHUTDOWN_COMMANDS)
+            assert {(text or "end").split()[0] for text in texts} <= {"PONG", "BUSY", "ERR"}
+            assert await client.answer() is None
+
+    run(test())
+
+
 def test_command_completed_after_open_requests_have_failed_is_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against: a request whose last byte comes in the flush time is forwarded, and the process then ends."""
     monkeypatch.setattr(client_listener, "FLUSH_TIMEOUT_S", LONG_TIME_S)
