Measure the program's memory from its own pages, not from the peak that it inherits

Cause: the peak of getrusage is that of the process that started this one, if that was larger: a limiter started by a large one divided an eighth of its limit in place of what it has. Change: the resident pages of /proc/self/statm at the start; none are assumed where that cannot be read. Measured: test_measured_memory_of_the_program_is_its_own (a parent of 300 MB).

--- a/elderlock/net/client_connection.py
+++ b/elderlock/net/client_connection.py
@@ -189,12 +189,10 @@
 
     def _check_if_behind(self) -> None:
         """After reads that filled the buffer: find out whether more follows, for too long to let commands wait."""
+        behind_s = self._listener.loop.time() - self._behind_since_s
         if not self._has_unread_input():
             self._full_reads = 0
-        elif (
-            self._full_reads >= MAX_FULL_READS
-            and self._listener.loop.time() - self._behind_since_s >= MAX_TIME_BEHIND_S
-        ):
+        elif self._full_reads >= MAX_FULL_READS and behind_s >= MAX_TIME_BEHIND_S:
             self._commands.reject_waiting()
 
     def has_work(self) -> bool:
--- a/elderlock/net/memory_budget.py
+++ b/elderlock/net/memory_budget.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-import resource
+import os
 from dataclasses import dataclass
+from pathlib import Path
 
 BYTES_PER_MB = 1 << 20
-BYTES_PER_KB = 1 << 10
+# The sizes of this process in pages, and the index of the resident one.
+MEMORY_PATH = Path("/proc/self/statm")
+RESIDENT_INDEX = 1
 # Memory that the program needs before it holds anything, unless it was measured.
 DEFAULT_PROGRAM_MB = 20.0
 # Part of the limit that is divided even if the program leaves less.
@@ -53,5 +56,12 @@
 
 
 def measured_program_mb() -> float:
-    """Return the most memory in MB that this process has used so far."""
-    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * BYTES_PER_KB / BYTES_PER_MB
+    """Return the memory in MB that this process uses now; 0 if the system does not tell.
+
+    The peak that `getrusage` returns is that of the process that started this one, if that was larger.
+    """
+    try:
+        resident_pages = int(MEMORY_PATH.read_text(encoding="ascii").split()[RESIDENT_INDEX])
+    except (OSError, ValueError, IndexError):
+        return 0.0
+    return resident_pages * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MB
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -3,6 +3,8 @@
 import asyncio
 import gc
 import socket
+import subprocess
+import sys
 import weakref
 from pathlib import Path
 
@@ -11,12 +13,14 @@
 from programs import connect_when_ready, free_port, start_program
 from test_endings import connection_of
 
+from elderlock.net import memory_budget
 from elderlock.net.memory_budget import MemoryBudget
 from elderlock.standins.discovery import Discovery
 from elderlock.standins.local_limiter import Limiter
 from elderlock.standins.servers import Server
 from elderlock.standins.settings import CUSTOMER, raw_config, target, terms
 from elderlock.standins.waiting import run, until
+from elderlock.standins.world import ROOT
 
 MEMORY_MB = 64
 CLIENTS = 300
@@ -24,6 +28,7 @@
 MEMORY_MB_OF_NEW_CUSTOMERS = 48
 NEW_CUSTOMERS = 25_000
 CUSTOMERS_AT_ONCE = 100
+PARENT_MB = 300
 KB_PER_MB = 1024
 LARGE_COMMAND: bytes = hiredis.pack_command(("API.WRITE", CUSTOMER, "large", terms(), "x" * 65_000))  # type: ignore[arg-type]
 HALF_A_COMMAND = LARGE_COMMAND[:-100]
@@ -113,3 +118,20 @@
         budget = MemoryBudget.of(memory_mb, program_mb)
         held_mb = (budget.requests + 2 * budget.input + budget.remembered_ids + budget.accounts) / 2**20
         assert 0 < held_mb <= max(memory_mb - program_mb, memory_mb / 8)
+
+
+def test_measured_memory_of_the_program_is_its_own() -> None:
+    """Guards against: a limiter that a large process starts takes that process's memory for its own, and holds little."""
+    ballast = bytearray(PARENT_MB << 20)
+    ballast[:: 1 << 12] = b"x" * len(ballast[:: 1 << 12])  # touches each page
+    code = "from elderlock.net.memory_budget import measured_program_mb; print(measured_program_mb())"
+    completed = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert 1.0 < float(completed.stdout) < PARENT_MB
+    assert len(ballast) == PARENT_MB << 20
+
+
+def test_memory_of_the_program_that_the_system_does_not_tell_counts_as_none(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(memory_budget, "MEMORY_PATH", tmp_path / "missing")
+    assert memory_budget.measured_program_mb() == 0.0
